--- /dev/null
+++ b/crates/toucan_gateway/src/budget/draw_sizing.rs
@@ -0,0 +1,112 @@
+//! How many tokens a process draws from the store or returns to it.
+
+use toucan_types::Tokens;
+
+/// Settings of [`decide_draw`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DrawSettings {
+    /// Time that the tokens in hand should last without the store.
+    pub bridge_s: f64,
+    /// Part of the target at or below which more are drawn.
+    pub refill_at: f64,
+    /// Part of the target above which the surplus is returned.
+    pub return_above: f64,
+    /// Part of the whole budget that all processes hold together before the first calls.
+    pub initial_part: f64,
+    /// Largest part of what is not granted yet that one draw takes beyond the calls that wait.
+    pub most_of_rest: f64,
+}
+
+impl DrawSettings {
+    /// The settings of a gateway.
+    pub const DEFAULT: Self = Self {
+        // Longer than a usual outage of the store, which lasts 8 to 9 s.
+        bridge_s: 10.0,
+        refill_at: 0.8,
+        return_above: 2.0,
+        initial_part: 0.2,
+        most_of_rest: 0.25,
+    };
+}
+
+impl Default for DrawSettings {
+    fn default() -> Self {
+        Self::DEFAULT
+    }
+}
+
+/// What a draw is decided from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DrawView {
+    /// Most tokens of the organisation.
+    pub prepaid: Tokens,
+    /// Tokens of it that are granted to any process.
+    pub granted_to_all: Tokens,
+    /// Tokens available here.
+    pub available: Tokens,
+    /// Tokens that calls wait for.
+    pub waiting: Tokens,
+    /// Tokens a second that calls ask for here.
+    pub rate_per_s: f64,
+    /// Processes that draw from the budget.
+    pub processes: u32,
+}
+
+/// What to do about the tokens in hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrawDecision {
+    /// Nothing.
+    Keep,
+    /// Draw so many more.
+    Draw(Tokens),
+    /// Return so many.
+    Return(Tokens),
+}
+
+/// Decides whether to draw tokens, and how many.
+///
+/// Holds enough to bridge an outage of the store, draws less as the budget runs out so that others
+/// can draw too, and returns everything that is idle when more is granted than was paid.
+#[must_use]
+pub fn decide_draw(view: &DrawView, settings: &DrawSettings) -> DrawDecision {
+    if view.granted_to_all > view.prepaid {
+        return match view.available {
+            Tokens::ZERO => DrawDecision::Keep,
+            idle => DrawDecision::Return(idle),
+        };
+    }
+    let rest = view.prepaid.saturating_sub(view.granted_to_all);
+    let target = target_holding(view, settings);
+    let surplus_above = scaled(target, settings.return_above);
+    if view.waiting.is_zero() && view.available > surplus_above {
+        return DrawDecision::Return(view.available.saturating_sub(target));
+    }
+    let lacking = target
+        .saturating_add(view.waiting)
+        .saturating_sub(view.available);
+    let is_due = !view.waiting.is_zero() || view.available <= scaled(target, settings.refill_at);
+    if !is_due || lacking.is_zero() || rest.is_zero() {
+        return DrawDecision::Keep;
+    }
+    let ahead = lacking.min(scaled(rest, settings.most_of_rest));
+    let draw = ahead.max(view.waiting).min(rest);
+    match draw {
+        Tokens::ZERO => DrawDecision::Keep,
+        draw => DrawDecision::Draw(draw),
+    }
+}
+
+/// Tokens that a process should have in hand.
+fn target_holding(view: &DrawView, settings: &DrawSettings) -> Tokens {
+    let by_rate = view.rate_per_s * settings.bridge_s;
+    let processes = f64::from(view.processes.max(1));
+    let initial = view.prepaid.0 as f64 * settings.initial_part / processes;
+    // Without calls, an equal part of what is left keeps the first call from waiting.
+    let rest = view.prepaid.saturating_sub(view.granted_to_all);
+    let idle_share = initial.min(rest.0 as f64 / (2.0 * processes));
+    Tokens(by_rate.max(idle_share) as u64)
+}
+
+fn scaled(tokens: Tokens, factor: f64) -> Tokens {
+    Tokens((tokens.0 as f64 * factor) as u64)
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/budget/grant_writer.rs
@@ -0,0 +1,196 @@
+//! Decides the records that a process writes into one partition of grants.
+
+use toucan_types::{DocumentVersion, FastHashMap, OrganisationName, Tokens};
+
+use super::{
+    DrawDecision, DrawSettings, DrawView, GrantBook, GrantKey, GrantOwner, GrantRecord, Holder,
+    Wallet, decide_draw,
+};
+
+/// What is known of an organisation when its record is decided.
+#[derive(Clone, Copy, Debug)]
+pub struct OrganisationView {
+    /// Version of this process's configuration.
+    pub config_version: DocumentVersion,
+    /// Most tokens of the organisation in that configuration.
+    pub prepaid: Tokens,
+    /// Tokens that calls wait for.
+    pub waiting: Tokens,
+    /// Processes that draw from the budget.
+    pub processes: u32,
+    /// Whether the process stops and returns all that is idle.
+    pub is_stopping: bool,
+}
+
+/// Writes the records of one process.
+///
+/// Only this process writes its record, and a record is appended only at the end that was read, so
+/// the stored record is always known when the next one is decided. Returned tokens leave the wallet
+/// before they are written and are counted in the record; an append whose fate is unknown is
+/// therefore settled by reading what the store holds.
+#[derive(Clone, Debug)]
+pub struct GrantWriter {
+    holder: Holder,
+}
+
+impl GrantWriter {
+    /// The writer of a process.
+    #[must_use]
+    pub const fn new(holder: Holder) -> Self {
+        Self { holder }
+    }
+
+    /// The key of this process's record.
+    #[must_use]
+    pub fn key(&self, organisation: &OrganisationName) -> GrantKey {
+        GrantKey {
+            organisation: organisation.clone(),
+            owner: GrantOwner::Holder(self.holder.clone()),
+        }
+    }
+
+    /// Sets a wallet to what the store says, after the partition was read to its end.
+    pub fn adopt(&self, organisation: &OrganisationName, book: &GrantBook, wallet: &mut Wallet) {
+        if let Some(stored) = self.stored(organisation, book) {
+            wallet.set_drawn(stored.drawn);
+        }
+    }
+
+    /// Whether [`Self::decide`] would write a record, if the store holds what was last read.
+    #[must_use]
+    pub fn is_due(
+        &self,
+        organisation: &OrganisationName,
+        book: &GrantBook,
+        wallet: &Wallet,
+        view: &OrganisationView,
+        settings: &DrawSettings,
+        now_ms: u64,
+    ) -> bool {
+        // A waiting call or a total in doubt needs what the store says now, not what it said before.
+        !view.waiting.is_zero()
+            || wallet.is_frozen()
+            || self.has_unwritten_return(organisation, book, wallet)
+            || decision(organisation, book, wallet, view, settings, now_ms) != DrawDecision::Keep
+    }
+
+    /// The record to be written for an organisation, if there is something to write.
+    ///
+    /// Tokens that are returned leave the wallet here, before the record is sent.
+    pub fn decide(
+        &self,
+        organisation: &OrganisationName,
+        book: &GrantBook,
+        wallet: &mut Wallet,
+        view: &OrganisationView,
+        settings: &DrawSettings,
+        now_ms: u64,
+    ) -> Option<GrantRecord> {
+        let configured = (view.config_version, view.prepaid);
+        let (config_version, prepaid) = book.prepaid(organisation, configured);
+        wallet.set_frozen(book.granted(organisation) > prepaid);
+        let stored_drawn = self
+            .stored(organisation, book)
+            .map_or(Tokens::ZERO, |stored| stored.drawn);
+        let drawn = match decision(organisation, book, wallet, view, settings, now_ms) {
+            DrawDecision::Keep if !self.has_unwritten_return(organisation, book, wallet) => {
+                return None;
+            }
+            DrawDecision::Keep => stored_drawn,
+            DrawDecision::Draw(tokens) => stored_drawn.saturating_add(tokens),
+            DrawDecision::Return(tokens) => {
+                wallet.take_back(tokens);
+                stored_drawn
+            }
+        };
+        Some(GrantRecord {
+            drawn,
+            returned: wallet.returned(),
+            spent: wallet.spent(),
+            config_version,
+            prepaid,
+        })
+    }
+
+    fn stored(&self, organisation: &OrganisationName, book: &GrantBook) -> Option<GrantRecord> {
+        let owner = GrantOwner::Holder(self.holder.clone());
+        book.record(organisation, &owner)
+    }
+
+    fn has_unwritten_return(
+        &self,
+        organisation: &OrganisationName,
+        book: &GrantBook,
+        wallet: &Wallet,
+    ) -> bool {
+        let stored = self
+            .stored(organisation, book)
+            .map_or(Tokens::ZERO, |stored| stored.returned);
+        wallet.returned() > stored
+    }
+
+    /// Records that count the grants of former processes of this VM as spent.
+    #[must_use]
+    pub fn absorb_former(&self, book: &GrantBook) -> Vec<(GrantKey, Option<GrantRecord>)> {
+        let mut records = Vec::new();
+        let mut totals: FastHashMap<OrganisationName, GrantRecord> = FastHashMap::default();
+        for (organisation, former, record) in book.replaced_by(&self.holder) {
+            let total = totals.entry(organisation.clone()).or_insert_with(|| {
+                book.record(&organisation, &GrantOwner::FormerHolders)
+                    .unwrap_or(GrantRecord {
+                        drawn: Tokens::ZERO,
+                        returned: Tokens::ZERO,
+                        spent: Tokens::ZERO,
+                        config_version: record.config_version,
+                        prepaid: record.prepaid,
+                    })
+            });
+            total.drawn = total.drawn.saturating_add(record.drawn);
+            total.returned = total.returned.saturating_add(record.returned);
+            total.spent = total.spent.saturating_add(record.spent);
+            if record.config_version > total.config_version {
+                total.config_version = record.config_version;
+                total.prepaid = record.prepaid;
+            }
+            let key = GrantKey {
+                organisation,
+                owner: GrantOwner::Holder(former),
+            };
+            records.push((key, None));
+        }
+        for (organisation, total) in totals {
+            let key = GrantKey {
+                organisation,
+                owner: GrantOwner::FormerHolders,
+            };
+            records.push((key, Some(total)));
+        }
+        records
+    }
+}
+
+fn decision(
+    organisation: &OrganisationName,
+    book: &GrantBook,
+    wallet: &Wallet,
+    view: &OrganisationView,
+    settings: &DrawSettings,
+    now_ms: u64,
+) -> DrawDecision {
+    if view.is_stopping {
+        return match wallet.available() {
+            Tokens::ZERO => DrawDecision::Keep,
+            idle => DrawDecision::Return(idle),
+        };
+    }
+    let configured = (view.config_version, view.prepaid);
+    let draw = DrawView {
+        prepaid: book.prepaid(organisation, configured).1,
+        granted_to_all: book.granted(organisation),
+        available: wallet.available(),
+        waiting: view.waiting,
+        rate_per_s: wallet.rate_per_s(now_ms),
+        processes: view.processes,
+    };
+    decide_draw(&draw, settings)
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/config/key_ring.rs
@@ -0,0 +1,68 @@
+//! Finds the organisation that holds a caller's key.
+
+use std::rc::Rc;
+
+use toucan_types::{FastHashMap, OrganisationName};
+
+use super::Organisation;
+
+/// Digest of a caller's key; the key itself is not kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// The digest of a key.
+    ///
+    /// Keys are long random strings, so a plain digest cannot be inverted by trying them out, and a
+    /// look-up by digest tells nothing by its time.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(*blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
+/// Organisations by name and by the digests of their keys.
+#[derive(Clone, Debug, Default)]
+pub struct KeyRing {
+    by_key: FastHashMap<KeyDigest, Rc<Organisation>>,
+    by_name: FastHashMap<OrganisationName, Rc<Organisation>>,
+}
+
+impl KeyRing {
+    /// The ring of some organisations.
+    pub fn new(organisations: impl IntoIterator<Item = Organisation>) -> Self {
+        let mut ring = Self::default();
+        for organisation in organisations {
+            let organisation = Rc::new(organisation);
+            for key in &organisation.keys {
+                ring.by_key.insert(*key, Rc::clone(&organisation));
+            }
+            ring.by_name
+                .insert(organisation.name.clone(), organisation);
+        }
+        ring
+    }
+
+    /// The organisation that holds `key`.
+    #[must_use]
+    pub fn holder(&self, key: &str) -> Option<&Rc<Organisation>> {
+        self.by_key.get(&KeyDigest::of(key))
+    }
+
+    /// The organisation called `name`.
+    #[must_use]
+    pub fn organisation(&self, name: &OrganisationName) -> Option<&Rc<Organisation>> {
+        self.by_name.get(name)
+    }
+
+    /// All organisations.
+    pub fn organisations(&self) -> impl Iterator<Item = &Rc<Organisation>> {
+        self.by_name.values()
+    }
+
+    /// Whether no organisation is configured, so that callers need no keys.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/config/service.rs
@@ -0,0 +1,25 @@
+//! One service with what is known of its targets.
+
+use toucan_types::ServiceName;
+
+/// A pool of targets that run the calls of routes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceName,
+    /// Most connections that a target accepts from all VMs together; [`None`] if there is no limit.
+    pub most_connections: Option<u32>,
+    /// What is known of the model engines; [`None`] for a plain service.
+    pub engine: Option<EngineTraits>,
+}
+
+/// What the configuration tells of a service's model engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineTraits {
+    /// Requests that one engine runs at once.
+    pub slots: u32,
+    /// Tokens that the memory of one engine holds.
+    pub memory_tokens: u64,
+    /// Most tokens in one event of a stream.
+    pub tokens_per_event: u32,
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/core.rs
@@ -0,0 +1,117 @@
+//! The state of a gateway that its tasks share.
+
+use std::rc::Rc;
+
+use toucan_router::{RetryBudget, RetryBudgetSettings};
+use toucan_types::{FastHashMap, OrganisationName, Permille, ServiceName, Tokens};
+
+use crate::{
+    budget::Wallet, config::FleetConfig, peers::Members, placement::TargetTable,
+    settings::Bounds,
+};
+
+/// Part of the fleet's allowance of retries that its VMs use together.
+///
+/// The rest covers VMs that start while others still count with fewer.
+const RETRY_ALLOWANCE_PART: f64 = 0.6;
+
+/// Everything that decisions are made from; no sockets, no clock.
+#[derive(Debug, Default)]
+pub(crate) struct Core {
+    /// The configuration in force; [`None`] until one has been read.
+    pub(crate) config: Option<Rc<FleetConfig>>,
+    /// Targets; empty until they have been read.
+    pub(crate) targets: TargetTable,
+    /// Whether the targets have been read once.
+    pub(crate) targets_known: bool,
+    /// Whether the grants have been read once.
+    pub(crate) grants_known: bool,
+    /// Tokens by organisation.
+    pub(crate) wallets: FastHashMap<OrganisationName, Wallet>,
+    /// Tokens that calls wait for, by organisation.
+    pub(crate) waiting: FastHashMap<OrganisationName, Tokens>,
+    /// What is left of each budget for certain, as last read from the store.
+    pub(crate) budget_views: FastHashMap<OrganisationName, BudgetView>,
+    /// Other gateways.
+    pub(crate) members: Members,
+    /// Allowances of retries by service.
+    pub(crate) retries: FastHashMap<ServiceName, RetryBudget>,
+    /// When the process was told to stop.
+    pub(crate) stopping_since_ms: Option<u64>,
+    /// Calls in progress.
+    pub(crate) calls_in_progress: u32,
+}
+
+/// What the store said of a budget when it was last read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct BudgetView {
+    /// When it was read.
+    pub(crate) read_at_ms: u64,
+    /// Most tokens of the organisation.
+    pub(crate) prepaid: Tokens,
+    /// Tokens granted to all processes.
+    pub(crate) granted: Tokens,
+    /// Tokens that all processes have reported as spent.
+    pub(crate) spent: Tokens,
+}
+
+impl Core {
+    /// Whether new calls may be accepted.
+    pub(crate) const fn is_ready(&self) -> bool {
+        self.config.is_some()
+            && self.targets_known
+            && self.grants_known
+            && self.stopping_since_ms.is_none()
+    }
+
+    /// The wallet of an organisation.
+    pub(crate) fn wallet(&mut self, organisation: &OrganisationName) -> &mut Wallet {
+        if !self.wallets.contains_key(organisation) {
+            self.wallets
+                .insert(organisation.clone(), Wallet::default());
+        }
+        self.wallets
+            .get_mut(organisation)
+            .unwrap_or_else(|| unreachable!("the wallet was inserted above"))
+    }
+
+    /// Counts a call for the allowance of retries of its service.
+    pub(crate) fn note_call(&mut self, service: &ServiceName, bounds: &Bounds, now_ms: u64) {
+        self.retry_budget(service, bounds, now_ms).succeeded();
+    }
+
+    /// Takes one retry from the allowance of a service.
+    pub(crate) fn take_retry(
+        &mut self,
+        service: &ServiceName,
+        bounds: &Bounds,
+        now_ms: u64,
+    ) -> bool {
+        self.retry_budget(service, bounds, now_ms).take(now_ms)
+    }
+
+    fn retry_budget(
+        &mut self,
+        service: &ServiceName,
+        bounds: &Bounds,
+        now_ms: u64,
+    ) -> &mut RetryBudget {
+        let settings = retry_settings(bounds, self.members.processes(now_ms));
+        let budget = self
+            .retries
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(settings, now_ms));
+        budget.set_settings(settings);
+        budget
+    }
+}
+
+/// This VM's share of the fleet's allowance of retries.
+fn retry_settings(bounds: &Bounds, processes: u32) -> RetryBudgetSettings {
+    let share = f64::from(bounds.retry_slack) * RETRY_ALLOWANCE_PART / f64::from(processes.max(1));
+    RetryBudgetSettings {
+        per_success: Permille((bounds.retry_ratio * RETRY_ALLOWANCE_PART * 1_000.0) as u32),
+        per_s: 0,
+        most_retries: share as u32,
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/duties/config_duty.rs
@@ -0,0 +1,92 @@
+//! Keeps the operators' newest configuration in force.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::sleep;
+
+use crate::{
+    Gateway, Platform,
+    config::FleetConfig,
+    keyed_log::{ReadRecord, Topic},
+};
+
+use super::{store_health::StoreHealth, topic_follower::TopicFollower};
+
+/// Longest wait for a new configuration in one call.
+const WAIT: Duration = Duration::from_secs(2);
+
+/// Follows the configuration for good.
+pub(crate) async fn follow_config<P: Platform>(gateway: Rc<Gateway<P>>) {
+    let mut follower = TopicFollower::new(Topic::Configuration, 0);
+    let mut health = StoreHealth::new("configuration");
+    loop {
+        match follower.read(&gateway.platform, WAIT).await {
+            Ok(followed) => {
+                health.answered(gateway.now_ms());
+                take_newest(&gateway, &followed.batch.records);
+            }
+            Err(error) => sleep(health.failed(&error, gateway.now_ms())).await,
+        }
+    }
+}
+
+/// Puts the last configuration among some records in force.
+fn take_newest<P: Platform>(gateway: &Rc<Gateway<P>>, records: &[ReadRecord]) {
+    let newest = records
+        .iter()
+        .rev()
+        .find(|read| gateway.platform.is_config_key(&read.record.key));
+    let Some(newest) = newest else {
+        return;
+    };
+    let Some(bytes) = &newest.record.value else {
+        log::warn!(target: "configuration", offset = newest.offset.0; "the configuration was dropped, the last one stays in force");
+        return;
+    };
+    match gateway.platform.read_config(bytes) {
+        Ok(config) => put_in_force(gateway, config, newest),
+        Err(findings) => {
+            metrics::counter!("toucan_unreadable_configurations_total").increment(1);
+            for finding in findings {
+                log::error!(target: "configuration", offset = newest.offset.0, finding:% = finding; "the configuration cannot be used, the last one stays in force");
+            }
+        }
+    }
+}
+
+fn put_in_force<P: Platform>(gateway: &Rc<Gateway<P>>, config: FleetConfig, read: &ReadRecord) {
+    let mut core = gateway.core.borrow_mut();
+    let before = core.config.as_ref().map(|config| config.version);
+    if before.is_some_and(|before| before >= config.version) {
+        return;
+    }
+    log::info!(
+        target: "configuration",
+        version = config.version.0,
+        before:? = before.map(|version| version.0),
+        offset = read.offset.0,
+        routes = config.routes.len();
+        "configuration in force"
+    );
+    metrics::gauge!("toucan_configuration_version").set(config.version.0 as f64);
+    freeze_lowered(&mut core, &config);
+    core.config = Some(Rc::new(config));
+    drop(core);
+    gateway.draw_soon.notify_one();
+}
+
+/// Stops spending from budgets whose total went down until the grants were read again.
+fn freeze_lowered(core: &mut crate::core::Core, config: &FleetConfig) {
+    let Some(before) = core.config.clone() else {
+        return;
+    };
+    for organisation in config.key_ring.organisations() {
+        let known = before.key_ring.organisation(&organisation.name);
+        let Some(old) = known.and_then(|known| known.prepaid) else {
+            continue;
+        };
+        if organisation.prepaid.is_some_and(|new| new < old) {
+            core.wallet(&organisation.name).set_frozen(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -0,0 +1,330 @@
+//! Draws tokens from the store and returns idle ones.
+
+use std::{
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use rand::Rng;
+use tokio::time::{sleep, timeout};
+use toucan_types::{OrganisationName, Tokens};
+
+use crate::{
+    Gateway, Platform,
+    budget::{
+        DrawSettings, GrantBook, GrantKey, GrantRecord, GrantRecordError, GrantWriter, Holder,
+        OrganisationView,
+    },
+    config::Organisation,
+    core::{BudgetView, Core},
+    keyed_log::{AppendError, KeyedRecord, ReadError, Topic},
+};
+
+use super::{store_health::StoreHealth, topic_follower::TopicFollower};
+
+/// Time between two looks at the wallets, if no call waits.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Tries to append before the next look; each lost race means that another process appended.
+const MOST_RACES: u32 = 8;
+/// Longest pause after a lost race.
+const RACE_PAUSE_MS: u64 = 15;
+/// Partitions that budgets are spread over. Part of the format: all processes must agree on it.
+const GRANT_PARTITIONS: u32 = 4;
+
+/// grants cannot be brought up to date: {0}
+#[derive(Clone, Debug, Display)]
+enum GrantError {
+    /// {0}
+    Read(ReadError),
+    /// {0}
+    Append(AppendError),
+    /// {0}
+    Record(GrantRecordError),
+    /// other processes appended first each time
+    Races,
+}
+
+impl std::error::Error for GrantError {}
+
+/// The grants in one partition.
+struct GrantPartition {
+    follower: TopicFollower,
+    book: GrantBook,
+    writer: GrantWriter,
+    is_read: bool,
+}
+
+/// Keeps the wallets filled for good.
+pub(crate) async fn keep_wallets<P: Platform>(gateway: Rc<Gateway<P>>) {
+    let count = GRANT_PARTITIONS.min(gateway.settings.bounds.most_partitions.max(1));
+    let holder = gateway.holder();
+    let mut partitions: Vec<GrantPartition> = (0..count)
+        .map(|number| GrantPartition::new(number, holder.clone()))
+        .collect();
+    let mut health = StoreHealth::new("grants");
+    loop {
+        let pause = match bring_up_to_date(&gateway, &mut partitions).await {
+            Ok(()) => {
+                health.answered(gateway.now_ms());
+                LOOK_INTERVAL
+            }
+            Err(error) => health.failed(&error, gateway.now_ms()),
+        };
+        if gateway.core.borrow().stopping_since_ms.is_none() {
+            gateway.tokens_changed.notify_waiters();
+        }
+        // Whether the pause passed or a call asked for tokens, the next step is the same.
+        let _elapsed = timeout(pause, gateway.draw_soon.notified()).await;
+        if health.is_lost() {
+            // Calls that wait must not make a store that is away get more calls.
+            sleep(pause).await;
+        }
+    }
+}
+
+/// Returns all idle tokens, before the process ends.
+pub(crate) async fn return_all<P: Platform>(gateway: &Rc<Gateway<P>>) {
+    gateway.draw_soon.notify_one();
+    gateway.returned.notified().await;
+}
+
+async fn bring_up_to_date<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    partitions: &mut [GrantPartition],
+) -> Result<(), GrantError> {
+    let Some(config) = gateway.core.borrow().config.clone() else {
+        return Ok(());
+    };
+    let count = partitions.len() as u32;
+    for (number, partition) in partitions.iter_mut().enumerate() {
+        let organisations: Vec<Rc<Organisation>> = config
+            .key_ring
+            .organisations()
+            .filter(|organisation| partition_of(&organisation.name, count) == number as u32)
+            .map(Rc::clone)
+            .collect();
+        if !partition.is_read || partition.is_due(gateway, &organisations) {
+            partition.update(gateway, config.version, &organisations).await?;
+        }
+    }
+    let mut core = gateway.core.borrow_mut();
+    if !core.grants_known {
+        core.grants_known = true;
+        log::info!(target: "budget", partitions = count; "grants read");
+    }
+    if core.stopping_since_ms.is_some() {
+        gateway.returned.notify_one();
+    }
+    Ok(())
+}
+
+/// The partition of an organisation's budget.
+fn partition_of(organisation: &OrganisationName, count: u32) -> u32 {
+    let hash = blake3::hash(organisation.as_str().as_bytes());
+    u32::from(hash.as_bytes()[0]) % count
+}
+
+impl GrantPartition {
+    fn new(number: u32, holder: Holder) -> Self {
+        Self {
+            follower: TopicFollower::new(Topic::Grants, number),
+            book: GrantBook::default(),
+            writer: GrantWriter::new(holder),
+            is_read: false,
+        }
+    }
+
+    /// Whether any wallet would be changed by what was last read; costs no call of the store.
+    fn is_due<P: Platform>(
+        &self,
+        gateway: &Rc<Gateway<P>>,
+        organisations: &[Rc<Organisation>],
+    ) -> bool {
+        let now_ms = gateway.now_ms();
+        let core = &mut *gateway.core.borrow_mut();
+        organisations.iter().any(|organisation| {
+            let Some(view) = organisation_view(core, organisation, now_ms) else {
+                return false;
+            };
+            let wallet = core.wallet(&organisation.name);
+            self.writer
+                .is_due(&organisation.name, &self.book, wallet, &view, &DRAW, now_ms)
+        })
+    }
+
+    async fn update<P: Platform>(
+        &mut self,
+        gateway: &Rc<Gateway<P>>,
+        version: toucan_types::DocumentVersion,
+        organisations: &[Rc<Organisation>],
+    ) -> Result<(), GrantError> {
+        for _race in 0..MOST_RACES {
+            let end = self.read_to_end(gateway).await?;
+            let records = self.decide(gateway, organisations)?;
+            if records.is_empty() {
+                let core = &mut *gateway.core.borrow_mut();
+                self.publish(core, gateway.now_ms(), organisations);
+                return Ok(());
+            }
+            let appended = gateway
+                .platform
+                .append(self.follower.partition(), Some(end), &records)
+                .await;
+            match appended {
+                Ok(new_end) => {
+                    log::info!(
+                        target: "budget",
+                        partition = self.follower.partition().number,
+                        config_version = version.0,
+                        end = new_end.0,
+                        records = records.len();
+                        "grants written"
+                    );
+                    self.follower.skip_to(new_end);
+                    self.take_own(gateway, &records, organisations)?;
+                    return Ok(());
+                }
+                Err(AppendError::Moved(_)) => {
+                    metrics::counter!("toucan_grant_races_total").increment(1);
+                    let pause_ms = rand::rng().random_range(0..RACE_PAUSE_MS);
+                    sleep(Duration::from_millis(pause_ms)).await;
+                }
+                Err(error) => return Err(GrantError::Append(error)),
+            }
+        }
+        Err(GrantError::Races)
+    }
+
+    /// Reads to the end of the partition and sets the wallets to what the store says.
+    async fn read_to_end<P: Platform>(
+        &mut self,
+        gateway: &Rc<Gateway<P>>,
+    ) -> Result<toucan_types::Offset, GrantError> {
+        loop {
+            let read = self.follower.read(&gateway.platform, Duration::ZERO).await;
+            let followed = read.map_err(GrantError::Read)?;
+            if followed.is_whole {
+                self.book = GrantBook::default();
+            }
+            for read in &followed.batch.records {
+                self.apply(&read.record)?;
+            }
+            if !followed.is_whole && followed.batch.next >= followed.batch.end {
+                break Ok(followed.batch.end);
+            }
+        }
+    }
+
+    fn apply(&mut self, record: &KeyedRecord) -> Result<(), GrantError> {
+        // A record that cannot be read may be a grant, so nothing may be drawn beside it.
+        let key = GrantKey::decode(&record.key).map_err(GrantError::Record)?;
+        let value = match &record.value {
+            Some(bytes) => Some(GrantRecord::decode(bytes).map_err(GrantError::Record)?),
+            None => None,
+        };
+        self.book.apply(key, value);
+        Ok(())
+    }
+
+    fn decide<P: Platform>(
+        &mut self,
+        gateway: &Rc<Gateway<P>>,
+        organisations: &[Rc<Organisation>],
+    ) -> Result<Vec<KeyedRecord>, GrantError> {
+        let now_ms = gateway.now_ms();
+        let core = &mut *gateway.core.borrow_mut();
+        let mut records = Vec::new();
+        for organisation in organisations {
+            let name = &organisation.name;
+            let Some(view) = organisation_view(core, organisation, now_ms) else {
+                continue;
+            };
+            let wallet = core.wallet(name);
+            self.writer.adopt(name, &self.book, wallet);
+            let decided = self
+                .writer
+                .decide(name, &self.book, wallet, &view, &DRAW, now_ms);
+            if let Some(record) = decided {
+                records.push(encode(&self.writer.key(name), Some(record))?);
+            }
+        }
+        for (key, record) in self.writer.absorb_former(&self.book) {
+            records.push(encode(&key, record)?);
+        }
+        self.is_read = true;
+        Ok(records)
+    }
+
+    /// Takes records that were appended just now, without reading them back.
+    fn take_own<P: Platform>(
+        &mut self,
+        gateway: &Rc<Gateway<P>>,
+        records: &[KeyedRecord],
+        organisations: &[Rc<Organisation>],
+    ) -> Result<(), GrantError> {
+        for record in records {
+            self.apply(record)?;
+        }
+        let core = &mut *gateway.core.borrow_mut();
+        for organisation in organisations {
+            let name = &organisation.name;
+            self.writer.adopt(name, &self.book, core.wallet(name));
+        }
+        self.publish(core, gateway.now_ms(), organisations);
+        Ok(())
+    }
+
+    /// Tells calls what the store says of their budgets.
+    fn publish(&self, core: &mut Core, read_at_ms: u64, organisations: &[Rc<Organisation>]) {
+        let Some(version) = core.config.as_ref().map(|config| config.version) else {
+            return;
+        };
+        for organisation in organisations {
+            let Some(configured) = organisation.prepaid else {
+                continue;
+            };
+            let name = &organisation.name;
+            let (_version, prepaid) = self.book.prepaid(name, (version, configured));
+            let view = BudgetView {
+                read_at_ms,
+                prepaid,
+                granted: self.book.granted(name),
+                spent: self.book.spent(name),
+            };
+            core.budget_views.insert(name.clone(), view);
+        }
+    }
+}
+
+const DRAW: DrawSettings = DrawSettings::DEFAULT;
+
+fn organisation_view(
+    core: &Core,
+    organisation: &Organisation,
+    now_ms: u64,
+) -> Option<OrganisationView> {
+    Some(OrganisationView {
+        config_version: core.config.as_ref()?.version,
+        prepaid: organisation.prepaid?,
+        waiting: core
+            .waiting
+            .get(&organisation.name)
+            .copied()
+            .unwrap_or(Tokens::ZERO),
+        processes: core.members.processes(now_ms),
+        is_stopping: core.stopping_since_ms.is_some(),
+    })
+}
+
+fn encode(key: &GrantKey, record: Option<GrantRecord>) -> Result<KeyedRecord, GrantError> {
+    let value = match record {
+        Some(record) => Some(Bytes::from(record.encode().map_err(GrantError::Record)?)),
+        None => None,
+    };
+    Ok(KeyedRecord {
+        key: key.encode(),
+        value,
+    })
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/duties/member_duty.rs
@@ -0,0 +1,91 @@
+//! Registers this gateway and keeps the list of the others.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::sleep;
+use toucan_types::VmName;
+
+use crate::{
+    Gateway, Platform,
+    keyed_log::{AppendError, KeyedRecord, Partition, ReadRecord, Topic},
+    peers::MemberEntry,
+};
+
+use super::{store_health::StoreHealth, topic_follower::TopicFollower};
+
+/// Longest wait for a change of the list in one call.
+const WAIT: Duration = Duration::from_secs(5);
+/// Where gateways register.
+const MEMBERS: Partition = Partition {
+    topic: Topic::Members,
+    number: 0,
+};
+
+/// Registers this gateway, then follows the list of gateways for good.
+pub(crate) async fn follow_members<P: Platform>(gateway: Rc<Gateway<P>>) {
+    let mut health = StoreHealth::new("members");
+    while let Err(error) = register(&gateway).await {
+        sleep(health.failed(&error, gateway.now_ms())).await;
+    }
+    let mut follower = TopicFollower::new(Topic::Members, 0);
+    loop {
+        match follower.read(&gateway.platform, WAIT).await {
+            Ok(followed) => {
+                health.answered(gateway.now_ms());
+                for read in &followed.batch.records {
+                    apply(&gateway, read);
+                }
+            }
+            Err(error) => sleep(health.failed(&error, gateway.now_ms())).await,
+        }
+    }
+}
+
+async fn register<P: Platform>(gateway: &Rc<Gateway<P>>) -> Result<(), AppendError> {
+    let entry = gateway.member_entry();
+    let value = bincode::serde::encode_to_vec(&entry, bincode::config::standard())
+        .map_err(|error| AppendError::Invalid(error.to_string()))?;
+    append(gateway, Some(Bytes::from(value))).await
+}
+
+/// Removes the registration, so that others no longer count this gateway.
+pub(crate) async fn deregister<P: Platform>(gateway: &Rc<Gateway<P>>) -> Result<(), AppendError> {
+    append(gateway, None).await
+}
+
+async fn append<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    value: Option<Bytes>,
+) -> Result<(), AppendError> {
+    let record = KeyedRecord {
+        key: gateway.settings.vm.to_string(),
+        value,
+    };
+    // Only this VM writes its key, so the append needs no condition.
+    gateway.platform.append(MEMBERS, None, &[record]).await?;
+    Ok(())
+}
+
+fn apply<P: Platform>(gateway: &Rc<Gateway<P>>, read: &ReadRecord) {
+    let vm = VmName::from(read.record.key.as_str());
+    if vm == gateway.settings.vm {
+        return;
+    }
+    let now_ms = gateway.now_ms();
+    let mut core = gateway.core.borrow_mut();
+    let Some(bytes) = &read.record.value else {
+        core.members.remove(&vm);
+        log::info!(target: "members", vm = vm.as_str(), offset = read.offset.0; "gateway left");
+        return;
+    };
+    match bincode::serde::decode_from_slice::<MemberEntry, _>(bytes, bincode::config::standard()) {
+        Ok((entry, _read)) => {
+            log::info!(target: "members", vm = vm.as_str(), offset = read.offset.0, address:% = entry.address; "gateway registered");
+            core.members.register(vm, entry, now_ms);
+        }
+        Err(error) => {
+            log::warn!(target: "members", vm = vm.as_str(), offset = read.offset.0, error:% = error; "a registration cannot be read");
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/duties/stop_duty.rs
@@ -0,0 +1,54 @@
+//! A planned stop: no new connections, then no new calls, then the end.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::{sleep, timeout};
+
+use crate::{Gateway, Platform, serving::http_listener::ListenerState};
+
+use super::{grant_duty::return_all, member_duty::deregister};
+
+/// Time for which calls are still accepted. The balancer notices a VM that is not ready within two
+/// of its questions, which it asks once a second.
+pub(crate) const ACCEPT_MS: u64 = 2_500;
+/// Part of the time before the process is killed in which calls may end.
+const DRAIN_PART: f64 = 0.9;
+/// Longest wait for the store at the end.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time between two looks at the calls in progress.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Stops the gateway and returns how many calls were cut off.
+pub(crate) async fn stop<P: Platform>(gateway: &Rc<Gateway<P>>) -> u32 {
+    let began_ms = gateway.now_ms();
+    gateway.core.borrow_mut().stopping_since_ms = Some(began_ms);
+    let end_ms = began_ms + (gateway.settings.bounds.stop_ms as f64 * DRAIN_PART) as u64;
+    log::info!(
+        target: "process",
+        calls = gateway.core.borrow().calls_in_progress,
+        stop_ms = gateway.settings.bounds.stop_ms;
+        "stop begins"
+    );
+    gateway.draw_soon.notify_one();
+    sleep(Duration::from_millis(ACCEPT_MS)).await;
+    gateway.listener_state.send_replace(ListenerState::Closing);
+    while gateway.core.borrow().calls_in_progress > 0 && gateway.now_ms() < end_ms {
+        sleep(LOOK_INTERVAL).await;
+    }
+    if timeout(STORE_TIMEOUT, return_all(gateway)).await.is_err() {
+        log::warn!(target: "budget", "idle tokens were not returned, the store did not answer");
+    }
+    match timeout(STORE_TIMEOUT, deregister(gateway)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::warn!(target: "members", error:% = error; "not deregistered"),
+        Err(_elapsed) => log::warn!(target: "members", "not deregistered, the store did not answer"),
+    }
+    let cut_off = gateway.core.borrow().calls_in_progress;
+    log::info!(
+        target: "process",
+        cut_off = cut_off,
+        took_ms = gateway.now_ms().saturating_sub(began_ms);
+        "stopped"
+    );
+    cut_off
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/error.rs
@@ -0,0 +1,104 @@
+//! Why a call was not answered by a target.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+use http::StatusCode;
+
+/// Why the gateway answers a call itself.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Refusal {
+    /// no configuration has been read yet
+    NotConfigured,
+    /// no route has this host and path
+    NoRoute,
+    /// the call carries no key that an organisation holds
+    UnknownKey,
+    /// the call has no id
+    NoId,
+    /// the body is larger than allowed
+    BodyTooLarge,
+    /// the body could not be read
+    BodyUnreadable,
+    /// the organisation's budget does not cover the call
+    BudgetSpent,
+    /// the tokens for the call could not be had in time
+    BudgetNotReachable,
+    /// no target can take the call
+    NoTarget,
+    /// the target refused the call without running it
+    TargetFull,
+    /// the time for the call ended before it was sent
+    TooLate,
+    /// the process stops
+    Stopping,
+    /// the target failed and may have run the call
+    TargetFailed,
+    /// the target did not answer in time and may have run the call
+    TargetSilent,
+}
+
+impl std::error::Error for Refusal {}
+
+impl Refusal {
+    /// The status that the caller gets.
+    #[must_use]
+    pub const fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoId | Self::BodyUnreadable => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
+            Self::NotConfigured
+            | Self::BudgetNotReachable
+            | Self::NoTarget
+            | Self::TargetFull
+            | Self::TooLate
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            Self::TargetFailed => StatusCode::BAD_GATEWAY,
+            Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Whether the call has certainly not run and never will.
+    #[must_use]
+    pub const fn is_not_run(self) -> bool {
+        !matches!(self, Self::TargetFailed | Self::TargetSilent)
+    }
+
+    /// When the caller may try again with hope; [`None`] if trying again does not help.
+    #[must_use]
+    pub const fn retry_after(self) -> Option<Duration> {
+        let ms = match self {
+            // A stopping VM is left by the balancer at once; another one takes the next attempt.
+            Self::Stopping => 50,
+            Self::TargetFull | Self::NoTarget => 250,
+            Self::NotConfigured => 500,
+            Self::BudgetNotReachable => 700,
+            _ => return None,
+        };
+        Some(Duration::from_millis(ms))
+    }
+
+    /// Name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NotConfigured => "not_configured",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::NoId => "no_id",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyUnreadable => "body_unreadable",
+            Self::BudgetSpent => "budget_spent",
+            Self::BudgetNotReachable => "budget_not_reachable",
+            Self::NoTarget => "no_target",
+            Self::TargetFull => "target_full",
+            Self::TooLate => "too_late",
+            Self::Stopping => "stopping",
+            Self::TargetFailed => "target_failed",
+            Self::TargetSilent => "target_silent",
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/event_log.rs
@@ -0,0 +1,101 @@
+//! Writes the log to standard output without blocking whoever logs.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+    thread,
+    time::Duration,
+};
+
+use displaydoc::Display;
+use log4rs::{
+    append::Append,
+    config::{Appender, Config, Root},
+    encode::{Encode, json::JsonEncoder, writer::simple::SimpleWriter},
+};
+
+/// Name of the one appender.
+const STDOUT: &str = "stdout";
+/// Lines that wait to be written; more are dropped and counted.
+const MOST_WAITING: usize = 4_096;
+/// Lines that are written at once at most.
+const MOST_AT_ONCE: usize = 256;
+/// Pause after lines were written, in which more of them gather for one write.
+const GATHER: Duration = Duration::from_millis(100);
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// logging cannot be set up: {0}
+#[derive(Debug, Display)]
+pub struct EventLogError(String);
+
+impl std::error::Error for EventLogError {}
+
+/// Logs to standard output as one JSON object a line; to be called once.
+///
+/// # Errors
+///
+/// [`EventLogError`] if logging was set up before or the writer cannot start.
+pub fn start_event_log(level: log::LevelFilter) -> Result<(), EventLogError> {
+    let failed = |error: &dyn std::fmt::Display| EventLogError(error.to_string());
+    let (sender, receiver) = sync_channel(MOST_WAITING);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .spawn(move || write_lines(&receiver))
+        .map_err(|error| failed(&error))?;
+    let appender = RingAppender {
+        sender,
+        encoder: JsonEncoder::new(),
+    };
+    let config = Config::builder()
+        .appender(Appender::builder().build(STDOUT, Box::new(appender)))
+        .build(Root::builder().appender(STDOUT).build(level))
+        .map_err(|error| failed(&error))?;
+    log4rs::init_config(config).map_err(|error| failed(&error))?;
+    Ok(())
+}
+
+/// Lines that were dropped since the start because the writer was behind.
+pub fn dropped_log_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Encodes lines and hands them to the writer.
+#[derive(Debug)]
+struct RingAppender {
+    sender: SyncSender<Vec<u8>>,
+    encoder: JsonEncoder,
+}
+
+impl Append for RingAppender {
+    fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
+        let mut line = SimpleWriter(Vec::with_capacity(256));
+        self.encoder.encode(&mut line, record)?;
+        if let Err(TrySendError::Full(_)) = self.sender.try_send(line.0) {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+            metrics::counter!("toucan_dropped_log_lines_total").increment(1);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(receiver: &Receiver<Vec<u8>>) {
+    let mut batch = Vec::new();
+    while let Ok(first) = receiver.recv() {
+        batch.clear();
+        batch.extend_from_slice(&first);
+        for line in receiver.try_iter().take(MOST_AT_ONCE) {
+            batch.extend_from_slice(&line);
+        }
+        if io::stdout().write_all(&batch).is_err() {
+            // Nobody reads the log; the counter tells so, and the calls go on.
+            metrics::counter!("toucan_unwritten_log_batches_total").increment(1);
+        }
+        thread::sleep(GATHER);
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -0,0 +1,52 @@
+//! Sets up connections for HTTP.
+
+use std::{net::SocketAddrV4, time::Duration};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpSocket, time::timeout};
+
+use crate::socket_options::set_liveness_options;
+
+/// a connection cannot be set up: {0}
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[allow(clippy::doc_markdown, reason = "displaydoc takes the texts of errors from here")]
+pub enum ConnectError {
+    /// the peer did not accept it in time
+    TimedOut,
+    /// {0}
+    Failed(String),
+}
+
+impl std::error::Error for ConnectError {}
+
+/// Connects to an address; a local task drives the connection until it ends.
+///
+/// # Errors
+///
+/// [`ConnectError`] if there is no connection within the time-out.
+pub async fn connect_http(
+    address: SocketAddrV4,
+    connect_timeout: Duration,
+) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
+    let failed = |error: &dyn std::fmt::Display| ConnectError::Failed(error.to_string());
+    let socket = TcpSocket::new_v4().map_err(|error| failed(&error))?;
+    set_liveness_options(&socket).map_err(|error| failed(&error))?;
+    let Ok(connected) = timeout(connect_timeout, socket.connect(address.into())).await else {
+        return Err(ConnectError::TimedOut);
+    };
+    let stream = connected.map_err(|error| failed(&error))?;
+    let (sender, connection) = http1::Builder::new()
+        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(&error))?;
+    tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(target: "pool", address:% = address, error:% = error; "a connection ended");
+        }
+    });
+    Ok(sender)
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -0,0 +1,77 @@
+//! Metrics and the dump of a gateway's state.
+
+use std::sync::OnceLock;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use serde_json::json;
+
+use crate::{Gateway, Platform};
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Installs the recorder of metrics; to be called once, before a gateway starts.
+pub fn start_metrics() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    if metrics::set_global_recorder(recorder).is_err() || METRICS.set(handle).is_err() {
+        log::warn!(target: "process", "another recorder of metrics is installed");
+    }
+}
+
+/// The text at a path of the metrics address; [`None`] if there is none.
+pub(crate) fn inspect<P: Platform>(gateway: &Gateway<P>, path: &str) -> Option<String> {
+    match path {
+        "/metrics" => Some(METRICS.get().map_or_else(String::new, PrometheusHandle::render)),
+        "/state" => Some(state(gateway)),
+        _ => None,
+    }
+}
+
+/// What the process believes.
+fn state<P: Platform>(gateway: &Gateway<P>) -> String {
+    let now_ms = gateway.now_ms();
+    let core = gateway.core.borrow();
+    let targets: Vec<_> = core
+        .targets
+        .iter()
+        .map(|target| {
+            json!({
+                "name": target.entry.name.as_str(),
+                "service": target.entry.service.as_str(),
+                "draining": target.entry.draining,
+                "in_flight": target.in_flight,
+                "load": target.load(now_ms),
+                "failed_part": target.faults.failed_part(),
+                "is_paused": target.faults.is_paused(now_ms),
+            })
+        })
+        .collect();
+    let budgets: Vec<_> = core
+        .wallets
+        .iter()
+        .map(|(organisation, wallet)| {
+            let view = core.budget_views.get(organisation);
+            json!({
+                "organisation": organisation.as_str(),
+                "available_tokens": wallet.available().0,
+                "spent_tokens": wallet.spent().0,
+                "tokens_per_s": wallet.rate_per_s(now_ms),
+                "is_frozen": wallet.is_frozen(),
+                "prepaid_tokens": view.map(|view| view.prepaid.0),
+                "granted_to_all_tokens": view.map(|view| view.granted.0),
+                "read_ms_ago": view.map(|view| now_ms.saturating_sub(view.read_at_ms)),
+            })
+        })
+        .collect();
+    json!({
+        "vm": gateway.settings.vm.as_str(),
+        "configuration": core.config.as_ref().map(|config| config.version.0),
+        "is_ready": core.is_ready(),
+        "calls_in_progress": core.calls_in_progress,
+        "gateways": core.members.processes(now_ms),
+        "target_connections": gateway.pool.open_in_all(),
+        "targets": targets,
+        "budgets": budgets,
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/peers/lending.rs
@@ -0,0 +1,113 @@
+//! Loans of tokens between gateways.
+
+use std::collections::VecDeque;
+
+use toucan_types::{FastHashMap, OrganisationName, Tokens, VmName};
+
+use super::LoanId;
+
+/// Loans that are remembered, so that a repeated request gets the same answer.
+const MOST_REMEMBERED: usize = 4_096;
+/// Time between two rounds of requests for one organisation.
+const ROUND_MS: u64 = 30;
+/// Gateways asked in one round.
+const PEERS_PER_ROUND: usize = 3;
+/// Part of what a gateway has to spare that it lends at most in one loan, if it gets calls itself.
+const LENT_PART: f64 = 0.5;
+
+/// Who asked, by VM and start, and the number of the request.
+type LoanKey = (VmName, u64, LoanId);
+
+/// Requests for loans, asked and answered.
+#[derive(Debug, Default)]
+pub struct Lending {
+    last_id: u64,
+    asked: FastHashMap<LoanId, OrganisationName>,
+    asked_order: VecDeque<LoanId>,
+    given: FastHashMap<LoanKey, Tokens>,
+    given_order: VecDeque<LoanKey>,
+    rounds: FastHashMap<OrganisationName, Round>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Round {
+    began_ms: u64,
+    next_peer: usize,
+}
+
+impl Lending {
+    /// The positions among `peers` gateways to be asked now; empty if they were asked just before.
+    pub fn next_round(
+        &mut self,
+        organisation: &OrganisationName,
+        peers: usize,
+        now_ms: u64,
+    ) -> Vec<usize> {
+        if peers == 0 {
+            return Vec::new();
+        }
+        let round = self.rounds.entry(organisation.clone()).or_default();
+        if round.began_ms != 0 && now_ms < round.began_ms + ROUND_MS {
+            return Vec::new();
+        }
+        round.began_ms = now_ms;
+        let first = round.next_peer;
+        let asked = PEERS_PER_ROUND.min(peers);
+        round.next_peer = (first + asked) % peers;
+        (first..first + asked).map(|at| at % peers).collect()
+    }
+
+    /// The number of a new request.
+    pub fn ask(&mut self, organisation: &OrganisationName) -> LoanId {
+        self.last_id += 1;
+        let id = LoanId(self.last_id);
+        self.asked.insert(id, organisation.clone());
+        self.asked_order.push_back(id);
+        if self.asked_order.len() > MOST_REMEMBERED {
+            if let Some(oldest) = self.asked_order.pop_front() {
+                self.asked.remove(&oldest);
+            }
+        }
+        id
+    }
+
+    /// Whether a loan answers a request that was not answered before; it counts once.
+    pub fn accept(&mut self, id: LoanId, organisation: &OrganisationName) -> bool {
+        if self.asked.get(&id) != Some(organisation) {
+            return false;
+        }
+        self.asked.remove(&id);
+        true
+    }
+
+    /// The loan that was given for a request before.
+    #[must_use]
+    pub fn given(&self, key: &(VmName, u64, LoanId)) -> Option<Tokens> {
+        self.given.get(key).copied()
+    }
+
+    /// Remembers a loan.
+    pub fn remember(&mut self, key: (VmName, u64, LoanId), tokens: Tokens) {
+        self.given.insert(key.clone(), tokens);
+        self.given_order.push_back(key);
+        if self.given_order.len() > MOST_REMEMBERED {
+            if let Some(oldest) = self.given_order.pop_front() {
+                self.given.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// How much a gateway lends of what it has.
+///
+/// One without calls of its own gives all that is asked for; one with calls keeps a second's worth
+/// and gives a part of the rest, so that two short gateways do not pass the same tokens to and fro.
+#[must_use]
+pub fn loan_size(asked: Tokens, available: Tokens, rate_per_s: f64) -> Tokens {
+    let kept = Tokens(rate_per_s as u64);
+    let spare = available.saturating_sub(kept);
+    if asked.0 <= (spare.0 as f64 * LENT_PART) as u64 {
+        return asked;
+    }
+    asked.min(Tokens((available.0 as f64 * LENT_PART) as u64))
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -0,0 +1,80 @@
+//! Gateways that work together.
+
+use std::net::SocketAddrV4;
+
+use toucan_types::{FastHashMap, VmName};
+
+/// Time after its last datagram, or after its registration, for which a gateway counts as running.
+const HEARD_MS: u64 = 5_000;
+
+/// What a gateway says of itself in the store.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct MemberEntry {
+    /// Random number of the start.
+    pub start: u64,
+    /// Where it receives datagrams.
+    pub address: SocketAddrV4,
+    /// Key by which its datagrams are authenticated.
+    pub key: [u8; 32],
+}
+
+/// A gateway with what this VM knows of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    /// Its registration.
+    pub(crate) entry: MemberEntry,
+    /// When it was last heard of.
+    pub(crate) heard_at_ms: u64,
+}
+
+/// All registered gateways but this one.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Members {
+    by_vm: FastHashMap<VmName, Member>,
+}
+
+impl Members {
+    /// Takes a registration.
+    pub(crate) fn register(&mut self, vm: VmName, entry: MemberEntry, now_ms: u64) {
+        let is_known = self
+            .by_vm
+            .get(&vm)
+            .is_some_and(|member| member.entry.start == entry.start);
+        if is_known {
+            return;
+        }
+        let member = Member {
+            entry,
+            heard_at_ms: now_ms,
+        };
+        self.by_vm.insert(vm, member);
+    }
+
+    /// Removes a gateway that has stopped.
+    pub(crate) fn remove(&mut self, vm: &VmName) {
+        self.by_vm.remove(vm);
+    }
+
+    /// One gateway.
+    pub(crate) fn get_mut(&mut self, vm: &VmName) -> Option<&mut Member> {
+        self.by_vm.get_mut(vm)
+    }
+
+    /// All gateways.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&VmName, &Member)> {
+        self.by_vm.iter()
+    }
+
+    /// Gateways that are running, this one included.
+    pub(crate) fn processes(&self, now_ms: u64) -> u32 {
+        let others = self.live(now_ms).count();
+        u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// Gateways that are running, but this one.
+    pub(crate) fn live(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
+        self.by_vm
+            .iter()
+            .filter(move |(_vm, member)| now_ms.saturating_sub(member.heard_at_ms) <= HEARD_MS)
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -0,0 +1,163 @@
+//! Which target gets a call.
+
+use std::hash::{BuildHasher, Hasher};
+
+use toucan_types::{DataCentreName, TargetName};
+
+use crate::{config::EngineTraits, dialect::PromptPart};
+
+use super::TargetState;
+
+/// Settings of [`choose_target`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ChoiceSettings {
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub tokens_read_per_ms: f64,
+    /// Time by which each call at an engine delays the first event of another.
+    pub delay_per_call_ms: f64,
+    /// Time by which a call at a plain service delays another, once all slots are taken.
+    pub delay_per_slot_ms: f64,
+    /// Delay that a target which fails all its calls is taken to add.
+    pub failure_delay_ms: f64,
+    /// Delay that a target in another data centre is taken to add.
+    pub other_data_centre_ms: f64,
+    /// Part of an uncached prompt that counts for the target which all VMs prefer for it.
+    pub home_part: f64,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> Self {
+        Self {
+            tokens_read_per_ms: 50.0,
+            delay_per_call_ms: 8.0,
+            delay_per_slot_ms: 40.0,
+            failure_delay_ms: 2_000.0,
+            other_data_centre_ms: 2.0,
+            home_part: 0.3,
+        }
+    }
+}
+
+/// What a choice is made for.
+#[derive(Clone, Copy, Debug)]
+pub struct ChoiceRequest<'a> {
+    /// Engine of the service, if it has one.
+    pub engine: Option<EngineTraits>,
+    /// Parts of the prompt.
+    pub parts: &'a [PromptPart],
+    /// Data centre of this VM.
+    pub data_centre: &'a DataCentreName,
+    /// Targets that were tried before.
+    pub tried: &'a [TargetName],
+    /// Most calls of this VM at one target.
+    pub most_in_flight: u32,
+    /// Breaks ties evenly.
+    pub draw: u64,
+}
+
+/// The best of some targets for a call; [`None`] if none may get it.
+///
+/// Calls with the same shared parts go to the same target as long as the time that its cache saves
+/// exceeds what its load costs. All VMs prefer the same target for a prompt, so that they need not
+/// agree; a hot prompt spills over to the next ones as its first target fills up.
+pub fn choose_target<'a>(
+    request: &ChoiceRequest<'_>,
+    targets: impl Iterator<Item = &'a TargetState>,
+    settings: &ChoiceSettings,
+    now_ms: u64,
+) -> Option<&'a TargetState> {
+    let candidates: Vec<&TargetState> = targets
+        .filter(|target| !target.entry.draining)
+        .filter(|target| !request.tried.contains(&target.entry.name))
+        .filter(|target| target.in_flight < request.most_in_flight)
+        .collect();
+    let is_any_sound = candidates.iter().any(|t| !t.faults.is_paused(now_ms));
+    let home = home_of(request, &candidates);
+    candidates
+        .into_iter()
+        .filter(|target| !is_any_sound || !target.faults.is_paused(now_ms))
+        .map(|target| {
+            let is_home = home.as_ref() == Some(&target.entry.name);
+            let delay_ms = expected_delay_ms(request, target, is_home, settings, now_ms);
+            (delay_ms, tie_break(request.draw, &target.entry.name), target)
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
+        .map(|(_delay_ms, _tie, target)| target)
+}
+
+/// Time that the target is expected to add before the first event or the answer.
+fn expected_delay_ms(
+    request: &ChoiceRequest<'_>,
+    target: &TargetState,
+    is_home: bool,
+    settings: &ChoiceSettings,
+    now_ms: u64,
+) -> f64 {
+    let failures_ms = target.faults.failed_part() * settings.failure_delay_ms;
+    let distance_ms = if &target.entry.data_centre == request.data_centre {
+        0.0
+    } else {
+        settings.other_data_centre_ms
+    };
+    let load = f64::from(target.load(now_ms));
+    let slots = f64::from(target.entry.slots.max(1));
+    let over = (load + 1.0 - slots).max(0.0);
+    let work_ms = if request.engine.is_some() {
+        let reading_ms = target.unread_tokens as f64 / settings.tokens_read_per_ms;
+        load * settings.delay_per_call_ms
+            + reading_ms
+            + prompt_ms(request, target, is_home, settings, now_ms)
+            + over * 10.0 * settings.delay_per_call_ms
+    } else {
+        load * settings.delay_per_slot_ms / slots + over * settings.delay_per_slot_ms
+    };
+    failures_ms + distance_ms + work_ms
+}
+
+/// Time that the target takes to read the part of the prompt that it does not hold.
+fn prompt_ms(
+    request: &ChoiceRequest<'_>,
+    target: &TargetState,
+    is_home: bool,
+    settings: &ChoiceSettings,
+    now_ms: u64,
+) -> f64 {
+    let all: u64 = request.parts.iter().map(|part| part.tokens).sum();
+    let cached = target.parts.cached_tokens(request.parts, now_ms);
+    let lacking = all.saturating_sub(cached) as f64 / settings.tokens_read_per_ms;
+    if is_home && cached == 0 {
+        lacking * settings.home_part
+    } else {
+        lacking
+    }
+}
+
+/// The target that all VMs prefer for the prompt's shared parts.
+fn home_of(request: &ChoiceRequest<'_>, candidates: &[&TargetState]) -> Option<TargetName> {
+    let key = shared_key(request.parts)?;
+    candidates
+        .iter()
+        .map(|target| (tie_break(key, &target.entry.name), &target.entry.name))
+        .max()
+        .map(|(_weight, name)| name.clone())
+}
+
+/// Hash of the parts that other calls may share: all but the last, or the only one.
+fn shared_key(parts: &[PromptPart]) -> Option<u64> {
+    let shared = match parts {
+        [] => return None,
+        [only] => only,
+        [.., last_shared, _own] => last_shared,
+    };
+    Some(shared.id)
+}
+
+/// Seed of the hash, the same in every process.
+const HASH_SEED: u64 = 0x6761_7465_7761_7931;
+
+fn tie_break(draw: u64, name: &TargetName) -> u64 {
+    let mut hasher = foldhash::quality::FixedState::with_seed(HASH_SEED).build_hasher();
+    hasher.write_u64(draw);
+    hasher.write(name.as_str().as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/placement/fault_history.rs
@@ -0,0 +1,89 @@
+//! Failures of one target, and how long it is avoided for them.
+
+/// How a call ended, as far as it tells about the target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEnd {
+    /// It answered as it should.
+    Answered,
+    /// It answered with an error of its own.
+    Errored,
+    /// It refused the call because it was full.
+    Shed,
+    /// It could not be connected to.
+    NotConnected,
+    /// The connection broke, or the answer was none.
+    Broken,
+    /// It did not answer in time.
+    Silent,
+}
+
+/// Weight of one call in the average of failures.
+const AVERAGE_WEIGHT: f64 = 0.1;
+/// First time for which a target is avoided; doubled with each further failure in a row.
+const FIRST_PAUSE_MS: u64 = 400;
+/// Longest time for which a target is avoided before it is tried again.
+const MOST_PAUSE_MS: u64 = 5_000;
+/// Failures in a row after which a target that can be connected to is avoided.
+const FAULTS_BEFORE_PAUSE: u32 = 2;
+
+/// Recent failures of a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FaultHistory {
+    failed_part: f64,
+    in_a_row: u32,
+    paused_until_ms: u64,
+}
+
+impl FaultHistory {
+    /// Notes how a call ended; true if the target is avoided from now on.
+    pub fn note(&mut self, end: CallEnd, now_ms: u64) -> bool {
+        let weight = match end {
+            CallEnd::Answered => 0.0,
+            // Errors of a service's own calls are usual; they only count against the others' rate.
+            CallEnd::Errored => 0.5,
+            CallEnd::Shed => 0.3,
+            CallEnd::NotConnected | CallEnd::Broken | CallEnd::Silent => 1.0,
+        };
+        self.failed_part += AVERAGE_WEIGHT * (weight - self.failed_part);
+        match end {
+            CallEnd::Answered | CallEnd::Errored => {
+                self.in_a_row = 0;
+                self.paused_until_ms = 0;
+                false
+            }
+            CallEnd::Shed => false,
+            CallEnd::NotConnected | CallEnd::Broken | CallEnd::Silent => {
+                self.in_a_row += 1;
+                let free = match end {
+                    CallEnd::NotConnected => 0,
+                    _ => FAULTS_BEFORE_PAUSE - 1,
+                };
+                if self.in_a_row <= free {
+                    return false;
+                }
+                let doublings = (self.in_a_row - free - 1).min(8);
+                let pause_ms = (FIRST_PAUSE_MS << doublings).min(MOST_PAUSE_MS);
+                self.paused_until_ms = now_ms + pause_ms;
+                true
+            }
+        }
+    }
+
+    /// Part of the calls of late that failed, from 0 to 1.
+    #[must_use]
+    pub const fn failed_part(&self) -> f64 {
+        self.failed_part
+    }
+
+    /// Whether the target is avoided.
+    #[must_use]
+    pub const fn is_paused(&self, now_ms: u64) -> bool {
+        now_ms < self.paused_until_ms
+    }
+
+    /// When the target is tried again.
+    #[must_use]
+    pub const fn paused_until_ms(&self) -> u64 {
+        self.paused_until_ms
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -0,0 +1,13 @@
+//! Targets, what this VM knows of them, and which one gets a call.
+
+mod choice;
+mod fault_history;
+mod part_cache;
+mod target_state;
+mod target_table;
+
+pub use choice::{ChoiceRequest, ChoiceSettings, choose_target};
+pub use fault_history::{CallEnd, FaultHistory};
+pub use part_cache::PartCache;
+pub use target_state::TargetState;
+pub use target_table::{TargetChange, TargetTable};
--- /dev/null
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -0,0 +1,77 @@
+//! What this VM knows of one target.
+
+use std::rc::Rc;
+
+use toucan_types::FastHashMap;
+
+use crate::config::TargetEntry;
+
+use super::{FaultHistory, PartCache};
+
+/// A target with this VM's view of it.
+#[derive(Clone, Debug)]
+pub struct TargetState {
+    /// What the target says of itself.
+    pub entry: Rc<TargetEntry>,
+    /// Calls of this VM that it works on.
+    pub in_flight: u32,
+    /// Prompt tokens of those calls that are neither read yet nor known to be cached.
+    pub unread_tokens: u64,
+    /// Failures of late.
+    pub faults: FaultHistory,
+    /// Parts of prompts that it was sent of late.
+    pub parts: PartCache,
+    /// Calls that other VMs say it works on, with the time of their word.
+    by_peer: FastHashMap<u64, PeerLoad>,
+}
+
+/// What another VM has at a target.
+#[derive(Clone, Copy, Debug)]
+struct PeerLoad {
+    in_flight: u32,
+    at_ms: u64,
+}
+
+/// Age after which another VM's word on its calls is no longer used.
+const PEER_LOAD_MS: u64 = 3_000;
+
+impl TargetState {
+    /// A target of which only its registration is known.
+    #[must_use]
+    pub fn new(entry: Rc<TargetEntry>) -> Self {
+        Self {
+            entry,
+            in_flight: 0,
+            unread_tokens: 0,
+            faults: FaultHistory::default(),
+            parts: PartCache::default(),
+            by_peer: FastHashMap::default(),
+        }
+    }
+
+    /// Notes how many calls another VM has here.
+    pub fn note_peer(&mut self, peer: u64, in_flight: u32, now_ms: u64) {
+        let load = PeerLoad {
+            in_flight,
+            at_ms: now_ms,
+        };
+        self.by_peer.insert(peer, load);
+    }
+
+    /// Forgets what another VM said, before its next word is taken.
+    pub fn forget_peer(&mut self, peer: u64) {
+        self.by_peer.remove(&peer);
+    }
+
+    /// Calls that it works on, as far as this VM knows.
+    #[must_use]
+    pub fn load(&self, now_ms: u64) -> u32 {
+        let of_peers: u32 = self
+            .by_peer
+            .values()
+            .filter(|load| now_ms.saturating_sub(load.at_ms) <= PEER_LOAD_MS)
+            .map(|load| load.in_flight)
+            .sum();
+        self.in_flight + of_peers
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -0,0 +1,93 @@
+//! All targets that this VM knows.
+
+use std::rc::Rc;
+
+use toucan_types::{FastHashMap, ServiceName, TargetName};
+
+use crate::config::TargetEntry;
+
+use super::TargetState;
+
+/// What a new registration changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetChange {
+    /// The target was not known before, or started again.
+    Started,
+    /// The target leaves.
+    Draining,
+    /// Something else, or nothing.
+    Other,
+}
+
+/// Targets by name.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    by_name: FastHashMap<TargetName, TargetState>,
+}
+
+impl TargetTable {
+    /// Takes a registration.
+    pub fn register(&mut self, entry: TargetEntry) -> TargetChange {
+        let Some(known) = self.by_name.get_mut(&entry.name) else {
+            let state = TargetState::new(Rc::new(entry));
+            self.by_name.insert(state.entry.name.clone(), state);
+            return TargetChange::Started;
+        };
+        if entry.started_at_unix_ms < known.entry.started_at_unix_ms {
+            // A late word of the start before; the present one knows better.
+            return TargetChange::Other;
+        }
+        let is_new_start = entry.started_at_unix_ms != known.entry.started_at_unix_ms;
+        let begins_to_leave = entry.draining && !known.entry.draining;
+        if is_new_start {
+            let in_flight = known.in_flight;
+            *known = TargetState::new(Rc::new(entry));
+            known.in_flight = in_flight;
+            return TargetChange::Started;
+        }
+        known.entry = Rc::new(entry);
+        if begins_to_leave {
+            TargetChange::Draining
+        } else {
+            TargetChange::Other
+        }
+    }
+
+    /// Removes a target; true if it was known.
+    pub fn remove(&mut self, name: &TargetName) -> bool {
+        self.by_name.remove(name).is_some()
+    }
+
+    /// One target.
+    #[must_use]
+    pub fn get(&self, name: &TargetName) -> Option<&TargetState> {
+        self.by_name.get(name)
+    }
+
+    /// One target, to change this VM's view of it.
+    pub fn get_mut(&mut self, name: &TargetName) -> Option<&mut TargetState> {
+        self.by_name.get_mut(name)
+    }
+
+    /// Forgets what another VM said of its calls at all targets.
+    pub fn forget_peer(&mut self, peer: u64) {
+        for target in self.by_name.values_mut() {
+            target.forget_peer(peer);
+        }
+    }
+
+    /// All targets.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetState> {
+        self.by_name.values()
+    }
+
+    /// The targets of one service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a TargetState> {
+        self.by_name
+            .values()
+            .filter(move |target| &target.entry.service == service)
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -0,0 +1,255 @@
+//! One call of a caller while it is served.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, Uri};
+use http_body_util::Full;
+use toucan_types::{OrganisationName, RequestId, ServiceName, TargetName, Tokens};
+
+use crate::{
+    Gateway, Platform, Refusal,
+    config::{FleetConfig, Organisation, Route, Service, TargetEntry},
+    dialect::{CallHead, Dispatch, TokenCounts},
+    placement::CallEnd,
+};
+
+use super::{call_log::CallLog, retry_rules::CallProgress};
+
+/// A call that was read and allowed, with everything needed to send it.
+pub(crate) struct Call {
+    /// Id of the caller's attempt.
+    pub(crate) id: RequestId,
+    /// What the head says.
+    pub(crate) head: CallHead,
+    /// Configuration that the call is handled by.
+    pub(crate) config: Rc<FleetConfig>,
+    /// Route.
+    pub(crate) route: Rc<Route>,
+    /// Service that runs it.
+    pub(crate) service: ServiceName,
+    /// Organisation that it is made for.
+    pub(crate) organisation: Option<Rc<Organisation>>,
+    /// Method, as the caller sent it.
+    pub(crate) method: Method,
+    /// Path and query, as the caller sent them.
+    pub(crate) uri: Uri,
+    /// Headers, without those that concern the caller's connection.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Bytes,
+    /// When the caller no longer waits or the route's time is over.
+    pub(crate) deadline_ms: u64,
+    /// Targets that failed it.
+    pub(crate) tried: Vec<TargetName>,
+    /// Sends and failures.
+    pub(crate) progress: CallProgress,
+}
+
+impl Call {
+    /// Time left at `now_ms`.
+    pub(crate) const fn left_ms(&self, now_ms: u64) -> u64 {
+        self.deadline_ms.saturating_sub(now_ms)
+    }
+
+    /// What the configuration tells of the service.
+    pub(crate) fn service_settings(&self) -> Option<&Rc<Service>> {
+        self.config.services.get(&self.service)
+    }
+
+    /// Rank at the target: the organisation's goes first, then the route's.
+    fn rank(&self) -> u8 {
+        const ROUTE_RANKS: u8 = 3;
+        const LAST_RANK: u8 = 9;
+        let organisation = self.organisation.as_ref().map_or(0, |o| o.priority);
+        let route = self.route.priority.min(ROUTE_RANKS - 1);
+        organisation
+            .saturating_mul(ROUTE_RANKS)
+            .saturating_add(route)
+            .min(LAST_RANK)
+    }
+
+    /// The request as a target is to see it.
+    pub(crate) fn request_to(
+        &self,
+        platform: &impl Platform,
+        target: &TargetEntry,
+        last_event_id: Option<&str>,
+        now_ms: u64,
+    ) -> Request<Full<Bytes>> {
+        let mut headers = self.headers.clone();
+        let is_engine = self.service_settings().is_some_and(|s| s.engine.is_some());
+        let dispatch = Dispatch {
+            target: &target.name,
+            left_ms: self.left_ms(now_ms),
+            organisation: self.organisation.as_ref().map(|o| &o.name),
+            last_event_id,
+            rank: is_engine.then(|| self.rank()),
+        };
+        platform.write_dispatch(&mut headers, &dispatch);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// The tokens of a call, settled when it ends, whichever way.
+pub(crate) struct CallAccount<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+    organisation: Option<OrganisationName>,
+    counts: TokenCounts,
+    reserved: Tokens,
+    may_have_run: bool,
+    output_tokens: u64,
+    is_ended: bool,
+    /// What the log tells of the call.
+    pub(crate) log: CallLog,
+}
+
+impl<P: Platform> CallAccount<P> {
+    /// The account of a call that has no tokens reserved yet.
+    pub(crate) fn new(gateway: Rc<Gateway<P>>, log: CallLog) -> Self {
+        gateway.core.borrow_mut().calls_in_progress += 1;
+        Self {
+            gateway,
+            organisation: None,
+            counts: TokenCounts::default(),
+            reserved: Tokens::ZERO,
+            may_have_run: false,
+            output_tokens: 0,
+            is_ended: false,
+            log,
+        }
+    }
+
+    /// Takes over tokens that were reserved in the organisation's wallet.
+    pub(crate) fn hold(&mut self, organisation: OrganisationName, counts: TokenCounts) {
+        self.organisation = Some(organisation);
+        self.counts = counts;
+        self.reserved = counts.most();
+        self.log.reserved_tokens = self.reserved.0;
+    }
+
+    /// A target may have begun to run the call, so that its prompt counts.
+    pub(crate) fn note_may_have_run(&mut self) {
+        self.may_have_run = true;
+    }
+
+    /// Sets the count of tokens that were delivered to the caller.
+    pub(crate) fn note_output(&mut self, tokens: u64) {
+        self.output_tokens = tokens;
+    }
+
+    /// The gateway answers the call itself.
+    pub(crate) fn refuse(&mut self, refusal: Refusal, reason: &str) {
+        self.is_ended = true;
+        let now_ms = self.gateway.now_ms();
+        self.log.refused(refusal, reason, now_ms);
+    }
+
+    /// A target answered the call.
+    pub(crate) fn answer(&mut self, status: u16, outcome: &str) {
+        self.is_ended = true;
+        let now_ms = self.gateway.now_ms();
+        self.log.answered(status, outcome, self.spent().0, now_ms);
+    }
+
+    fn spent(&self) -> Tokens {
+        if !self.may_have_run {
+            return Tokens::ZERO;
+        }
+        let output = self.output_tokens.min(self.counts.most_output);
+        Tokens(self.counts.input.saturating_add(output))
+    }
+}
+
+impl<P: Platform> Drop for CallAccount<P> {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            // The caller closed its connection; whoever works on the call is told by the same.
+            self.answer(0, "caller_left");
+        }
+        let spent = self.spent();
+        let mut core = self.gateway.core.borrow_mut();
+        core.calls_in_progress = core.calls_in_progress.saturating_sub(1);
+        if let Some(organisation) = &self.organisation {
+            core.wallet(organisation).settle(self.reserved, spent);
+        }
+        drop(core);
+        self.gateway.tokens_changed.notify_waiters();
+    }
+}
+
+/// A call at a target, counted there until it ends.
+pub(crate) struct TargetVisit<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+    target: TargetName,
+    unread_tokens: u64,
+}
+
+impl<P: Platform> TargetVisit<P> {
+    /// Counts a call that is being sent.
+    pub(crate) fn begin(gateway: Rc<Gateway<P>>, target: &TargetName, call: &Call) -> Self {
+        let now_ms = gateway.now_ms();
+        let parts = &call.head.prompt_parts;
+        let mut unread_tokens = 0;
+        if let Some(state) = gateway.core.borrow_mut().targets.get_mut(target) {
+            let all: u64 = parts.iter().map(|part| part.tokens).sum();
+            unread_tokens = all.saturating_sub(state.parts.cached_tokens(parts, now_ms));
+            state.in_flight += 1;
+            state.unread_tokens += unread_tokens;
+            state.parts.note(parts, now_ms);
+        }
+        Self {
+            gateway,
+            target: target.clone(),
+            unread_tokens,
+        }
+    }
+
+    /// Name of the target.
+    pub(crate) const fn target(&self) -> &TargetName {
+        &self.target
+    }
+
+    /// The target has read the prompt.
+    pub(crate) fn note_first_event(&mut self) {
+        let unread_tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(state) = self.gateway.core.borrow_mut().targets.get_mut(&self.target) {
+            state.unread_tokens = state.unread_tokens.saturating_sub(unread_tokens);
+        }
+    }
+
+    /// Notes what the call told of the target.
+    pub(crate) fn note_end(&self, end: CallEnd) {
+        let now_ms = self.gateway.now_ms();
+        let mut core = self.gateway.core.borrow_mut();
+        let Some(state) = core.targets.get_mut(&self.target) else {
+            return;
+        };
+        let is_paused = state.faults.note(end, now_ms);
+        let (failed_part, until_ms) = (state.faults.failed_part(), state.faults.paused_until_ms());
+        drop(core);
+        if is_paused {
+            log::warn!(
+                target: "target",
+                name = self.target.as_str(),
+                end:? = end,
+                failed_part = failed_part,
+                pause_ms = until_ms.saturating_sub(now_ms);
+                "target avoided after failures"
+            );
+        }
+    }
+}
+
+impl<P: Platform> Drop for TargetVisit<P> {
+    fn drop(&mut self) {
+        self.note_first_event();
+        if let Some(state) = self.gateway.core.borrow_mut().targets.get_mut(&self.target) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/event_splitter.rs
@@ -0,0 +1,85 @@
+//! Splits a stream of events into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// Collects the bytes of a stream until an event is whole.
+///
+/// A target may stop in the middle of an event; the part of it that came is never passed on, so
+/// that another target can go on after the last whole event.
+#[derive(Debug, Default)]
+pub(crate) struct EventSplitter {
+    pending: BytesMut,
+    searched: usize,
+    last_id: Option<String>,
+    events: u64,
+}
+
+/// Ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+/// Begins the line of an event's id.
+const ID_FIELD: &str = "id:";
+
+impl EventSplitter {
+    /// Adds bytes and returns the whole events that they complete, as they came.
+    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.pending.extend_from_slice(bytes);
+        let mut whole = 0;
+        while let Some(at) = find(&self.pending[self.searched..], EVENT_END) {
+            let end = self.searched + at + EVENT_END.len();
+            self.note_event(whole, end);
+            whole = end;
+            self.searched = end;
+        }
+        let events = self.pending.split_to(whole).freeze();
+        // The end of an event may be cut between two pieces.
+        self.searched = self.pending.len().saturating_sub(EVENT_END.len() - 1);
+        (!events.is_empty()).then_some(events)
+    }
+
+    /// The bytes after the last whole event, at the regular end of a stream.
+    pub(crate) fn finish(&mut self) -> Bytes {
+        self.searched = 0;
+        self.pending.split().freeze()
+    }
+
+    /// Drops the bytes after the last whole event, before another target goes on.
+    pub(crate) fn drop_partial(&mut self) {
+        self.pending.clear();
+        self.searched = 0;
+    }
+
+    /// Whole events so far.
+    pub(crate) const fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// Id of the last whole event.
+    pub(crate) fn last_id(&self) -> Option<&str> {
+        self.last_id.as_deref()
+    }
+
+    fn note_event(&mut self, start: usize, end: usize) {
+        let Ok(text) = std::str::from_utf8(&self.pending[start..end]) else {
+            self.events += 1;
+            return;
+        };
+        let mut has_data = false;
+        let mut id = None;
+        for line in text.lines() {
+            if let Some(value) = line.strip_prefix(ID_FIELD) {
+                id = Some(value.trim().to_owned());
+            }
+            has_data |= !line.is_empty() && !line.starts_with(':');
+        }
+        if id.is_some() {
+            self.last_id = id;
+        }
+        self.events += u64::from(has_data);
+    }
+}
+
+fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes
+        .windows(pattern.len())
+        .position(|window| window == pattern)
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -0,0 +1,157 @@
+//! One call to one target, up to the head of its answer.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use toucan_types::{RequestId, TargetName};
+
+use crate::{
+    config::TargetEntry,
+    dialect::{AnswerHead, Dialect},
+    placement::CallEnd,
+};
+
+use super::{TargetConnection, TargetPool, target_pool::CheckoutError};
+
+/// A call that is sent to one target.
+pub(crate) struct Exchange<'a> {
+    /// The target.
+    pub(crate) target: &'a TargetEntry,
+    /// Id that the answer must carry.
+    pub(crate) id: &'a RequestId,
+    /// The call, with the headers that the target is to see.
+    pub(crate) request: Request<Full<Bytes>>,
+    /// Most connections that this VM may open to the target.
+    pub(crate) most_connections: u32,
+    /// Longest wait for the head of the answer.
+    pub(crate) head_timeout: Duration,
+    /// Present time.
+    pub(crate) now_ms: u64,
+}
+
+/// An answer whose head was read; the body is still to come.
+pub(crate) struct OpenAnswer {
+    /// Status of the target.
+    pub(crate) status: StatusCode,
+    /// Headers of the target.
+    pub(crate) headers: HeaderMap,
+    /// Body, which ends the connection when dropped before its end.
+    pub(crate) body: Incoming,
+    /// What the head says.
+    pub(crate) head: AnswerHead,
+    connection: TargetConnection,
+    target: TargetName,
+    keep_alive: Option<Duration>,
+}
+
+impl OpenAnswer {
+    /// Gives the connection back after the body was read to its end.
+    pub(crate) fn finish(self, pool: &TargetPool, now_ms: u64) {
+        pool.put_back(&self.target, self.connection, self.keep_alive, now_ms);
+    }
+}
+
+/// Why a call has no usable answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ExchangeFailure {
+    /// It was certainly not sent.
+    NotSent(CallEnd),
+    /// The target says that it did not run it.
+    NotRun,
+    /// It may have run.
+    MayHaveRun(CallEnd),
+}
+
+impl ExchangeFailure {
+    /// What it tells about the target.
+    pub(crate) const fn call_end(self) -> CallEnd {
+        match self {
+            Self::NotSent(end) | Self::MayHaveRun(end) => end,
+            Self::NotRun => CallEnd::Shed,
+        }
+    }
+}
+
+/// Sends a call and waits for the head of its answer.
+pub(crate) async fn open_exchange(
+    dialect: &impl Dialect,
+    pool: &Rc<TargetPool>,
+    exchange: Exchange<'_>,
+) -> Result<OpenAnswer, ExchangeFailure> {
+    let checkout = pool.checkout(exchange.target, exchange.most_connections, exchange.now_ms);
+    let mut connection = checkout.await.map_err(|error| {
+        log::debug!(target: "pool", name = exchange.target.name.as_str(), error:% = error; "not connected");
+        ExchangeFailure::NotSent(match error {
+            CheckoutError::Exhausted => CallEnd::Shed,
+            CheckoutError::Connect(_) => CallEnd::NotConnected,
+        })
+    })?;
+    let sent = connection.sender.try_send_request(exchange.request);
+    let Ok(answered) = timeout(exchange.head_timeout, sent).await else {
+        return Err(ExchangeFailure::MayHaveRun(CallEnd::Silent));
+    };
+    let response = answered.map_err(|mut error| match error.take_message() {
+        // The connection ended before any byte was written.
+        Some(_unsent) => ExchangeFailure::NotSent(CallEnd::Broken),
+        None => ExchangeFailure::MayHaveRun(CallEnd::Broken),
+    })?;
+    let (parts, body) = response.into_parts();
+    let head = dialect.read_answer(parts.status, &parts.headers);
+    if head.id.as_ref().is_some_and(|id| id != exchange.id) {
+        // A late answer to a call before; dropping the connection keeps the rest of it away.
+        log::warn!(target: "call", id = exchange.id.as_str(), name = exchange.target.name.as_str(); "the target answered another call");
+        return Err(ExchangeFailure::MayHaveRun(CallEnd::Broken));
+    }
+    if head.not_run {
+        return Err(ExchangeFailure::NotRun);
+    }
+    let keep_alive = keep_alive_timeout(&parts.headers);
+    Ok(OpenAnswer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        head,
+        connection,
+        target: exchange.target.name.clone(),
+        keep_alive,
+    })
+}
+
+/// How long the target keeps an idle connection, if it says so.
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = value
+        .split(',')
+        .find_map(|field| field.trim().strip_prefix("timeout="))?;
+    seconds.parse().ok().map(Duration::from_secs)
+}
+
+/// Removes the headers that concern one connection only.
+pub(crate) fn remove_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in named {
+        headers.remove(name.as_str());
+    }
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    ] {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/http_listener.rs
@@ -0,0 +1,90 @@
+//! Accepts connections and serves HTTP on them.
+
+use std::{convert::Infallible, future::Future, rc::Rc, time::Duration};
+
+use http::{Request, Response};
+use http_body::Body;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, sync::watch};
+
+use crate::{config::CallerLimits, socket_options::set_liveness_options};
+
+/// Pause after a failed accept, such as when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Least size of the buffer of a connection.
+const LEAST_BUFFER_BYTES: usize = 16 * 1024;
+
+/// How far a planned stop has come, as connections see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListenerState {
+    /// Everything is served.
+    Open,
+    /// Connections close after the call in progress.
+    Closing,
+}
+
+/// Serves each connection of a listener until the state is [`ListenerState::Closing`].
+pub(crate) async fn serve_listener<H, F, B>(
+    name: &'static str,
+    listener: TcpListener,
+    limits: impl Fn() -> CallerLimits,
+    state: watch::Receiver<ListenerState>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: Body + 'static,
+    B::Data: 'static,
+    B::Error: std::error::Error + Send + Sync + 'static,
+{
+    let handler = Rc::new(handler);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _peer)) => stream,
+            Err(error) => {
+                log::warn!(target: "listener", name = name, error:% = error; "a connection was not accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if let Err(error) = set_liveness_options(&stream) {
+            log::debug!(target: "listener", name = name, error:% = error; "the connection ended at once");
+            continue;
+        }
+        metrics::counter!("toucan_accepted_connections_total", "listener" => name).increment(1);
+        let handler = Rc::clone(&handler);
+        let limits = limits();
+        let mut state = state.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let answer = handler(request);
+                async move { Ok::<_, Infallible>(answer.await) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                // The same limit holds between two calls, so it must not be below the idle time.
+                .header_read_timeout(Duration::from_millis(limits.idle_ms.max(limits.header_ms)))
+                .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::pin!(connection);
+            let closing = async {
+                // An error means that the process ends, which closes connections as well.
+                let _gone = state
+                    .wait_for(|state| *state == ListenerState::Closing)
+                    .await;
+            };
+            tokio::select! {
+                ended = connection.as_mut() => return note_end(name, ended),
+                () = closing => connection.as_mut().graceful_shutdown(),
+            }
+            note_end(name, connection.await);
+        });
+    }
+}
+
+fn note_end(name: &'static str, ended: hyper::Result<()>) {
+    if let Err(error) = ended {
+        log::debug!(target: "listener", name = name, error:% = error; "a connection broke");
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -0,0 +1,17 @@
+//! Serves callers: connections, calls, exchanges with targets.
+
+pub(crate) mod answer;
+mod call;
+mod call_log;
+mod event_splitter;
+mod exchange;
+pub(crate) mod http_listener;
+mod read_call;
+mod relay;
+mod reserve;
+mod retry_rules;
+mod serve_call;
+mod target_pool;
+
+pub(crate) use serve_call::serve_call;
+pub(crate) use target_pool::{TargetConnection, TargetPool};
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -0,0 +1,129 @@
+//! Reads a caller's request and decides whether it is allowed.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Request, header, request::Parts};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use toucan_types::RequestId;
+
+use crate::{
+    Gateway, Platform, Refusal,
+    config::{FleetConfig, Organisation, Route},
+    dialect::CallHead,
+};
+
+use super::{
+    call::{Call, CallAccount},
+    call_log::CallLog,
+    exchange::remove_connection_headers,
+    retry_rules::CallProgress,
+};
+
+/// Time that a caller waits if it does not say.
+const DEFAULT_PATIENCE_MS: u64 = 30_000;
+
+/// Reads a request; the account tells the log how it ended.
+pub(crate) async fn read_call<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    request: Request<Incoming>,
+    account: &mut CallAccount<P>,
+) -> Result<Call, Refusal> {
+    let began_ms = account.log.began_ms;
+    let (parts, body) = request.into_parts();
+    let head = gateway.platform.read_call(&parts.headers);
+    if let Some(id) = &head.id {
+        account.log.id = id.to_string();
+    }
+    let config = gateway.core.borrow().config.clone();
+    let config = config.ok_or(Refusal::NotConfigured)?;
+    account.log.config_version = config.version.0;
+    let route = Rc::clone(find_route(&config, &parts).ok_or(Refusal::NoRoute)?);
+    account.log.route.clone_from(&route.name);
+    let organisation = authenticate(&config, &route, &head)?;
+    if let Some(organisation) = &organisation {
+        account.log.organisation = organisation.name.to_string();
+    }
+    let id = head.id.clone().ok_or(Refusal::NoId)?;
+    let body = read_body(body, config.caller_limits.body_bytes).await?;
+    let service = route
+        .service_for(hash_of(&id))
+        .ok_or(Refusal::NoTarget)?
+        .clone();
+    let patience_ms = head.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS);
+    let mut headers = parts.headers;
+    remove_connection_headers(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    Ok(Call {
+        id,
+        config,
+        service,
+        organisation,
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+        deadline_ms: began_ms + patience_ms.min(route.timeout_ms),
+        route,
+        head,
+        tried: Vec::new(),
+        progress: CallProgress::default(),
+    })
+}
+
+/// The log entry of a call of which nothing is known yet.
+pub(crate) fn new_log(began_ms: u64) -> CallLog {
+    CallLog {
+        id: String::new(),
+        route: String::new(),
+        organisation: String::new(),
+        config_version: 0,
+        began_ms,
+        sent_to: Vec::new(),
+        reserved_tokens: 0,
+    }
+}
+
+/// An evenly distributed number that is the same for the same id.
+pub(crate) fn hash_of(id: &RequestId) -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    let mut hasher = foldhash::fast::FixedState::default().build_hasher();
+    hasher.write(id.as_str().as_bytes());
+    hasher.finish()
+}
+
+fn find_route<'a>(config: &'a FleetConfig, parts: &Parts) -> Option<&'a Rc<Route>> {
+    let host = match parts.headers.get(header::HOST) {
+        Some(host) => host.to_str().ok()?,
+        None => parts.uri.host()?,
+    };
+    config.routes.find(host, parts.uri.path())
+}
+
+/// The organisation that holds the caller's key.
+fn authenticate(
+    config: &FleetConfig,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<Rc<Organisation>>, Refusal> {
+    let holder = head
+        .key
+        .as_deref()
+        .and_then(|key| config.key_ring.holder(key));
+    if let Some(holder) = holder {
+        return Ok(Some(Rc::clone(holder)));
+    }
+    if route.is_public || config.key_ring.is_empty() {
+        return Ok(None);
+    }
+    Err(Refusal::UnknownKey)
+}
+
+async fn read_body(body: Incoming, most_bytes: usize) -> Result<Bytes, Refusal> {
+    match Limited::new(body, most_bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Err(_broken) => Err(Refusal::BodyUnreadable),
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -0,0 +1,138 @@
+//! Passes the events of a stream on as they arrive.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use tokio::time::timeout;
+
+use crate::{
+    Gateway, Platform,
+    config::RouteKind,
+    placement::CallEnd,
+};
+
+use super::{
+    answer::IncompleteAnswer,
+    call::{Call, CallAccount},
+    event_splitter::EventSplitter,
+    serve_call::{Answered, EventsAnswer, next_bytes, send_until_answered},
+};
+
+/// How the stream of one target ended.
+enum StreamEnd {
+    Regular,
+    Failed(CallEnd),
+    DeadlineReached,
+}
+
+/// The events for a caller, from one target or, where the route allows it, several in turn.
+pub(crate) fn relay_events<P: Platform>(
+    gateway: Rc<Gateway<P>>,
+    mut call: Call,
+    events: EventsAnswer<P>,
+    mut account: CallAccount<P>,
+) -> impl Stream<Item = Result<Bytes, IncompleteAnswer>> {
+    async_stream::try_stream! {
+        let tokens_per_event = tokens_per_event(&call);
+        let status = events.answer.status.as_u16();
+        let mut splitter = EventSplitter::default();
+        let mut events = Some(events);
+        while let Some(mut source) = events.take() {
+            let mut piece = Some(std::mem::take(&mut source.first));
+            let end = loop {
+                if let Some(bytes) = piece.take() {
+                    if let Some(whole) = splitter.push(&bytes) {
+                        account.note_output(splitter.events() * tokens_per_event);
+                        yield whole;
+                    }
+                }
+                let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
+                match timeout(left, next_bytes(&mut source.answer.body)).await {
+                    Err(_elapsed) => break StreamEnd::DeadlineReached,
+                    Ok(None) => break StreamEnd::Regular,
+                    Ok(Some(Err(_error))) => break StreamEnd::Failed(CallEnd::Broken),
+                    Ok(Some(Ok(bytes))) => piece = Some(bytes),
+                }
+            };
+            match end {
+                StreamEnd::Regular => {
+                    source.visit.note_end(CallEnd::Answered);
+                    source.answer.finish(&gateway.pool, gateway.now_ms());
+                    let rest = splitter.finish();
+                    if !rest.is_empty() {
+                        yield rest;
+                    }
+                    account.answer(status, "whole");
+                }
+                StreamEnd::DeadlineReached => {
+                    account.answer(status, "deadline_reached");
+                    Err(IncompleteAnswer)?;
+                }
+                StreamEnd::Failed(failure) => {
+                    source.visit.note_end(failure);
+                    splitter.drop_partial();
+                    let target = source.visit.target().clone();
+                    // Closes the connection before another target goes on.
+                    drop(source);
+                    call.progress.sends += 1;
+                    call.progress.may_have_run = true;
+                    call.tried.push(target.clone());
+                    log::info!(
+                        target: "call",
+                        id = call.id.as_str(),
+                        name = target.as_str(),
+                        events = splitter.events();
+                        "a stream broke off"
+                    );
+                    events = resume(&gateway, &mut call, &mut account, &splitter).await;
+                    if events.is_none() {
+                        account.answer(status, "broken_off");
+                        Err(IncompleteAnswer)?;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Most tokens in one event of the service's engines.
+fn tokens_per_event(call: &Call) -> u64 {
+    call.service_settings()
+        .and_then(|service| service.engine)
+        .map_or(1, |engine| u64::from(engine.tokens_per_event.max(1)))
+}
+
+/// Asks another target to go on after the last whole event.
+async fn resume<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &mut Call,
+    account: &mut CallAccount<P>,
+    splitter: &EventSplitter,
+) -> Option<EventsAnswer<P>> {
+    let may_resume = call.route.kind == RouteKind::Streaming { resumable: true }
+        && call.progress.sends < call.route.most_targets
+        && gateway.allows_retry(&call.service);
+    if !may_resume {
+        return None;
+    }
+    let last_event_id = splitter.last_id().map(ToOwned::to_owned);
+    let now_ms = gateway.now_ms();
+    let bounds = &gateway.settings.bounds;
+    gateway
+        .core
+        .borrow_mut()
+        .take_retry(&call.service, bounds, now_ms);
+    let resumed = send_until_answered(gateway, call, account, last_event_id.as_deref()).await;
+    match resumed {
+        Ok(Answered::Events(events)) => Some(*events),
+        Ok(Answered::Whole(_)) => {
+            log::warn!(target: "call", id = call.id.as_str(); "the stream was not resumed: no events");
+            None
+        }
+        Err((refusal, reason)) => {
+            log::warn!(target: "call", id = call.id.as_str(), refusal = refusal.name(), reason = reason; "the stream was not resumed");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -0,0 +1,383 @@
+//! The way of one call: read, reserve, choose, send, relay, settle.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures_util::Stream;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use toucan_types::{RequestId, ServiceName};
+
+use crate::{
+    Gateway, Platform, Refusal,
+    config::{RouteKind, TargetEntry},
+    placement::{CallEnd, ChoiceRequest, ChoiceSettings, choose_target},
+};
+
+use super::{
+    answer::{AnswerBody, IncompleteAnswer, refusal_answer},
+    call::{Call, CallAccount, TargetVisit},
+    exchange::{
+        Exchange, ExchangeFailure, OpenAnswer, open_exchange, remove_connection_headers,
+    },
+    read_call::{hash_of, new_log, read_call},
+    relay::relay_events,
+    reserve::reserve_tokens,
+    retry_rules::{NextStep, next_step},
+};
+
+/// Part of a target's connections that all VMs use together; the rest is for VMs that start.
+const CONNECTION_PART: f64 = 0.7;
+/// Least connections that a VM may open to a target.
+const LEAST_CONNECTIONS: u32 = 2;
+/// Connections per target where the configuration sets no limit.
+const DEFAULT_CONNECTIONS: u32 = 256;
+
+/// Serves one call and returns the answer for its caller.
+pub(crate) async fn serve_call<P: Platform>(
+    gateway: Rc<Gateway<P>>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody<impl Stream<Item = Result<Bytes, IncompleteAnswer>>>> {
+    let began_ms = gateway.now_ms();
+    let mut account = CallAccount::new(Rc::clone(&gateway), new_log(began_ms));
+    let answer = match open_call(&gateway, request, &mut account).await {
+        Ok((call, answered)) => Ok((call, answered)),
+        Err((refusal, reason)) => {
+            account.refuse(refusal, reason);
+            Err(refusal)
+        }
+    };
+    let (call, answered) = match answer {
+        Ok(opened) => opened,
+        Err(refusal) => return refusal_answer(refusal),
+    };
+    match answered {
+        Answered::Whole(whole) => whole_answer(*whole, &mut account),
+        Answered::Events(events) => {
+            let mut response = Response::new(());
+            *response.status_mut() = events.answer.status;
+            *response.headers_mut() = events.answer.headers.clone();
+            let stream = relay_events(gateway, *call, *events, account);
+            response.map(|()| AnswerBody::Relayed(Box::pin(stream)))
+        }
+    }
+}
+
+/// A usable answer of a target.
+pub(crate) enum Answered<P: Platform> {
+    /// Read to its end.
+    Whole(Box<WholeAnswer>),
+    /// A stream of which the first bytes were read.
+    Events(Box<EventsAnswer<P>>),
+}
+
+/// An answer that was read to its end.
+pub(crate) struct WholeAnswer {
+    status: StatusCode,
+    headers: http::HeaderMap,
+    body: Bytes,
+}
+
+/// A stream of events whose first bytes have arrived.
+pub(crate) struct EventsAnswer<P: Platform> {
+    /// Head, and the body that is still to come.
+    pub(crate) answer: OpenAnswer,
+    /// First bytes of the body.
+    pub(crate) first: Bytes,
+    /// The call at the target.
+    pub(crate) visit: TargetVisit<P>,
+}
+
+type Refused = (Refusal, &'static str);
+
+async fn open_call<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    request: Request<Incoming>,
+    account: &mut CallAccount<P>,
+) -> Result<(Box<Call>, Answered<P>), Refused> {
+    let read = read_call(gateway, request, account).await;
+    let mut call = Box::new(read.map_err(|refusal| (refusal, "before admission"))?);
+    if gateway.refuses_new_calls() {
+        return Err((Refusal::Stopping, "planned stop"));
+    }
+    let now_ms = gateway.now_ms();
+    gateway
+        .core
+        .borrow_mut()
+        .note_call(&call.service, &gateway.settings.bounds, now_ms);
+    if let (Some(organisation), Some(counts)) = (&call.organisation, call.head.tokens) {
+        if organisation.prepaid.is_some() {
+            reserve_tokens(gateway, organisation, counts.most(), call.deadline_ms).await?;
+            account.hold(organisation.name.clone(), counts);
+        }
+    }
+    let answered = send_until_answered(gateway, &mut call, account, None).await?;
+    Ok((call, answered))
+}
+
+/// Sends a call to targets until one answers or the rules end it.
+///
+/// `last_event_id` is that of the last event that the caller has, if a stream goes on.
+pub(crate) async fn send_until_answered<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &mut Call,
+    account: &mut CallAccount<P>,
+    last_event_id: Option<&str>,
+) -> Result<Answered<P>, Refused> {
+    loop {
+        let now_ms = gateway.now_ms();
+        if call.left_ms(now_ms) == 0 {
+            let refusal = if call.progress.may_have_run {
+                Refusal::TargetSilent
+            } else {
+                Refusal::TooLate
+            };
+            return Err((refusal, "deadline reached"));
+        }
+        let Some(target) = choose(gateway, call, now_ms) else {
+            let refusal = if call.progress.may_have_run {
+                Refusal::TargetFailed
+            } else {
+                Refusal::NoTarget
+            };
+            return Err((refusal, "no target is left"));
+        };
+        let failure = match send_once(gateway, call, account, &target, last_event_id).await {
+            Ok(answered) => return Ok(answered),
+            Err(failure) => failure,
+        };
+        note_failure(call, &target, failure);
+        let now_ms = gateway.now_ms();
+        let left_ms = call.left_ms(now_ms);
+        let route = &call.route;
+        let step = next_step(failure, call.progress, route.kind, route.most_targets, left_ms);
+        log_failure(&call.id, &target, failure, step, left_ms);
+        match step {
+            NextStep::TryUnsent => {}
+            NextStep::SendAgainOr(refusal) => {
+                if !take_retry(gateway, &call.service, now_ms) {
+                    return Err((refusal, "no retry is left in the allowance"));
+                }
+            }
+            NextStep::Refuse(refusal) => return Err((refusal, "the target failed the call")),
+        }
+    }
+}
+
+fn take_retry<P: Platform>(gateway: &Rc<Gateway<P>>, service: &ServiceName, now_ms: u64) -> bool {
+    let bounds = &gateway.settings.bounds;
+    gateway
+        .core
+        .borrow_mut()
+        .take_retry(service, bounds, now_ms)
+}
+
+fn note_failure(call: &mut Call, target: &TargetEntry, failure: ExchangeFailure) {
+    match failure {
+        // A connection that had ended says nothing of the next one.
+        ExchangeFailure::NotSent(CallEnd::Broken) => call.progress.unsent += 1,
+        ExchangeFailure::NotSent(_) => {
+            call.progress.unsent += 1;
+            call.tried.push(target.name.clone());
+        }
+        ExchangeFailure::NotRun => {
+            call.progress.sends += 1;
+            call.tried.push(target.name.clone());
+        }
+        ExchangeFailure::MayHaveRun(_) => {
+            call.progress.sends += 1;
+            call.progress.may_have_run = true;
+            call.tried.push(target.name.clone());
+        }
+    }
+}
+
+fn log_failure(
+    id: &RequestId,
+    target: &TargetEntry,
+    failure: ExchangeFailure,
+    step: NextStep,
+    left_ms: u64,
+) {
+    metrics::counter!("toucan_failed_sends_total").increment(1);
+    log::info!(
+        target: "call",
+        id = id.as_str(),
+        name = target.name.as_str(),
+        failure:? = failure,
+        step:? = step,
+        left_ms = left_ms;
+        "a target failed the call"
+    );
+}
+
+fn choose<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &Call,
+    now_ms: u64,
+) -> Option<Rc<TargetEntry>> {
+    let core = gateway.core.borrow();
+    let request = ChoiceRequest {
+        engine: call.service_settings().and_then(|service| service.engine),
+        parts: &call.head.prompt_parts,
+        data_centre: &gateway.settings.data_centre,
+        tried: &call.tried,
+        most_in_flight: most_connections(gateway, call, now_ms),
+        draw: hash_of(&call.id),
+    };
+    let targets = core.targets.of_service(&call.service);
+    let chosen = choose_target(&request, targets, &ChoiceSettings::default(), now_ms)?;
+    Some(Rc::clone(&chosen.entry))
+}
+
+/// Connections that this VM may open to one target of the call's service.
+fn most_connections<P: Platform>(gateway: &Rc<Gateway<P>>, call: &Call, now_ms: u64) -> u32 {
+    let limit = call
+        .service_settings()
+        .and_then(|service| service.most_connections)
+        .unwrap_or(DEFAULT_CONNECTIONS);
+    let processes = gateway.core.borrow().members.processes(now_ms).max(1);
+    let share = f64::from(limit) * CONNECTION_PART / f64::from(processes);
+    (share as u32).max(LEAST_CONNECTIONS)
+}
+
+/// Sends a call to one target and reads the answer, or the first bytes of a stream.
+async fn send_once<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &Call,
+    account: &mut CallAccount<P>,
+    target: &Rc<TargetEntry>,
+    last_event_id: Option<&str>,
+) -> Result<Answered<P>, ExchangeFailure> {
+    let now_ms = gateway.now_ms();
+    let mut visit = TargetVisit::begin(Rc::clone(gateway), &target.name, call);
+    account.log.sent_to.push(target.name.to_string());
+    let exchange = Exchange {
+        target,
+        id: &call.id,
+        request: call.request_to(&gateway.platform, target, last_event_id, now_ms),
+        most_connections: most_connections(gateway, call, now_ms),
+        head_timeout: head_timeout(call, now_ms),
+        now_ms,
+    };
+    let answered = match open_exchange(&gateway.platform, &gateway.pool, exchange).await {
+        Ok(answer) => read_answer(gateway, call, answer, &mut visit).await,
+        Err(failure) => Err(failure),
+    };
+    match answered {
+        Ok(Read::Whole(whole)) => {
+            account.note_may_have_run();
+            visit.note_end(if whole.status.is_server_error() {
+                CallEnd::Errored
+            } else {
+                CallEnd::Answered
+            });
+            Ok(Answered::Whole(Box::new(whole)))
+        }
+        Ok(Read::Events(answer, first)) => {
+            account.note_may_have_run();
+            visit.note_first_event();
+            let events = EventsAnswer {
+                answer,
+                first,
+                visit,
+            };
+            Ok(Answered::Events(Box::new(events)))
+        }
+        Err(failure) => {
+            visit.note_end(failure.call_end());
+            if matches!(failure, ExchangeFailure::MayHaveRun(_)) {
+                account.note_may_have_run();
+            }
+            Err(failure)
+        }
+    }
+}
+
+/// Time that the target gets for the head of its answer.
+///
+/// A call that may be sent to another target does not wait for a silent one until its end.
+fn head_timeout(call: &Call, now_ms: u64) -> Duration {
+    let left_ms = call.left_ms(now_ms);
+    let has_another = call.progress.sends + 1 < call.route.most_targets;
+    let wait_ms = if has_another && call.route.kind == RouteKind::Idempotent {
+        left_ms.min(call.route.goal_ms)
+    } else {
+        left_ms
+    };
+    Duration::from_millis(wait_ms)
+}
+
+enum Read {
+    Whole(WholeAnswer),
+    Events(OpenAnswer, Bytes),
+}
+
+async fn read_answer<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &Call,
+    mut answer: OpenAnswer,
+    visit: &mut TargetVisit<P>,
+) -> Result<Read, ExchangeFailure> {
+    let broken = ExchangeFailure::MayHaveRun(CallEnd::Broken);
+    let silent = ExchangeFailure::MayHaveRun(CallEnd::Silent);
+    if answer.status.is_success() && (!answer.head.is_stamped || answer.head.is_encoded) {
+        log::warn!(target: "call", id = call.id.as_str(), name = visit.target().as_str(); "the answer is not the target's own");
+        return Err(broken);
+    }
+    remove_connection_headers(&mut answer.headers);
+    let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
+    if call.route.kind.is_streaming() && answer.status.is_success() {
+        let first = timeout(left, next_bytes(&mut answer.body)).await;
+        return match first.map_err(|_elapsed| silent)? {
+            Some(Ok(first)) => Ok(Read::Events(answer, first)),
+            Some(Err(_)) | None => Err(broken),
+        };
+    }
+    let collected = timeout(left, (&mut answer.body).collect()).await;
+    let body = collected
+        .map_err(|_elapsed| silent)?
+        .map_err(|_error| broken)?
+        .to_bytes();
+    let whole = WholeAnswer {
+        status: answer.status,
+        headers: std::mem::take(&mut answer.headers),
+        body,
+    };
+    let is_failure = whole.status.is_server_error();
+    let may_try_another = call.route.kind == RouteKind::Idempotent
+        && call.progress.sends + 1 < call.route.most_targets;
+    answer.finish(&gateway.pool, gateway.now_ms());
+    if is_failure && may_try_another && gateway.allows_retry(&call.service) {
+        return Err(ExchangeFailure::MayHaveRun(CallEnd::Errored));
+    }
+    Ok(Read::Whole(whole))
+}
+
+/// The next bytes of a body; [`None`] at its regular end.
+pub(crate) async fn next_bytes(body: &mut Incoming) -> Option<hyper::Result<Bytes>> {
+    loop {
+        match body.frame().await? {
+            Err(error) => return Some(Err(error)),
+            Ok(frame) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Some(Ok(bytes));
+                }
+            }
+        }
+    }
+}
+
+fn whole_answer<P: Platform, S>(
+    whole: WholeAnswer,
+    account: &mut CallAccount<P>,
+) -> Response<AnswerBody<S>> {
+    account.answer(whole.status.as_u16(), "whole");
+    let mut response = Response::new(AnswerBody::Whole(Full::new(whole.body)));
+    *response.status_mut() = whole.status;
+    *response.headers_mut() = whole.headers;
+    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    response
+}
--- /dev/null
+++ b/crates/toucan_gateway/src/settings.rs
@@ -0,0 +1,53 @@
+//! Settings of a gateway.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use toucan_types::{DataCentreName, VmName};
+
+/// What a gateway must know before it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of the VM.
+    pub vm: VmName,
+    /// Data centre of the VM.
+    pub data_centre: DataCentreName,
+    /// Address of the VM.
+    pub ip: Ipv4Addr,
+    /// Where callers connect.
+    pub callers: SocketAddrV4,
+    /// Where the balancer asks whether the VM takes connections.
+    pub readiness: SocketAddrV4,
+    /// Where other gateways send datagrams.
+    pub peers: SocketAddrV4,
+    /// Where metrics and the state dump are served.
+    pub metrics: SocketAddrV4,
+    /// Bounds that the deployment sets.
+    pub bounds: Bounds,
+}
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time from the request to stop until the process is killed.
+    pub stop_ms: u64,
+    /// Retries allowed for each request, over all VMs.
+    pub retry_ratio: f64,
+    /// Retries allowed beyond the ratio in each window, over all VMs.
+    pub retry_slack: u32,
+    /// Longest time for which an event of a stream may be held.
+    pub pass_event_ms: u64,
+    /// Partitions that a topic may have.
+    pub most_partitions: u32,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            stop_ms: 8_000,
+            retry_ratio: 0.1,
+            retry_slack: 10,
+            pass_event_ms: 100,
+            most_partitions: 1,
+        }
+    }
+}
--- a/crates/toucan_router/src/retry_budget.rs
+++ b/crates/toucan_router/src/retry_budget.rs
@@ -61,6 +61,18 @@
         }
     }
 
+    /// Changes the settings, such as when the number of VMs that share an allowance changes.
+    pub fn set_settings(&mut self, settings: RetryBudgetSettings) {
+        self.settings = settings;
+        self.add(0);
+    }
+
+    /// Whether [`Self::take`] would give a retry.
+    #[must_use]
+    pub const fn has_any(&self) -> bool {
+        self.parts >= PARTS_PER_RETRY
+    }
+
     /// Notes a success of a first attempt or a retry.
     pub fn succeeded(&mut self) {
         self.add(u64::from(self.settings.per_success.0));
