--- a/crates/toucan_gateway/src/budget/draw_sizing.rs
+++ b/crates/toucan_gateway/src/budget/draw_sizing.rs
@@ -5,13 +5,19 @@
 /// Settings of [`decide_draw`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DrawSettings {
-    /// Time that the tokens in hand should last without the store.
-    pub bridge_s: f64,
+    /// Time that the tokens of all processes together should last without the store, when nothing
+    /// of the budget is left to be granted.
+    pub least_bridge_s: f64,
+    /// Time by which that grows in proportion to the part of the budget that is left.
+    pub bridge_growth_s: f64,
+    /// Part of the target that follows the process's own rate; the rest is shared out evenly.
+    pub own_part: f64,
     /// Part of the target at or below which more are drawn.
     pub refill_at: f64,
     /// Part of the target above which the surplus is returned.
     pub return_above: f64,
-    /// Part of the whole budget that all processes hold together before the first calls.
+    /// Part of the whole budget that all processes hold together before the first calls; it shrinks
+    /// with the square of what is left.
     pub initial_part: f64,
     /// Largest part of what is not granted yet that one draw takes beyond the calls that wait.
     pub most_of_rest: f64,
@@ -20,10 +26,15 @@
 impl DrawSettings {
     /// The settings of a gateway.
     pub const DEFAULT: Self = Self {
-        // Longer than a usual outage of the store, which lasts 8 to 9 s.
-        bridge_s: 10.0,
-        refill_at: 0.8,
-        return_above: 2.0,
+        // A usual outage of the store lasts 8 to 9 s. What is in hand when a process dies is lost,
+        // which a budget of which much is left bears better.
+        least_bridge_s: 6.0,
+        bridge_growth_s: 8.0,
+        // Few calls of widely different sizes make a process's own rate uncertain, and processes
+        // lend to each other.
+        own_part: 0.5,
+        refill_at: 0.85,
+        return_above: 1.2,
         initial_part: 0.2,
         most_of_rest: 0.25,
     };
@@ -48,6 +59,8 @@
     pub waiting: Tokens,
     /// Tokens a second that calls ask for here.
     pub rate_per_s: f64,
+    /// Tokens a second that calls ask for at the other processes.
+    pub others_rate_per_s: f64,
     /// Processes that draw from the budget.
     pub processes: u32,
 }
@@ -98,12 +111,17 @@
 
 /// Tokens that a process should have in hand.
 fn target_holding(view: &DrawView, settings: &DrawSettings) -> Tokens {
-    let by_rate = view.rate_per_s * settings.bridge_s;
     let processes = f64::from(view.processes.max(1));
-    let initial = view.prepaid.0 as f64 * settings.initial_part / processes;
-    // Without calls, an equal part of what is left keeps the first call from waiting.
+    let even_rate = (view.rate_per_s + view.others_rate_per_s) / processes;
+    let rate =
+        view.rate_per_s * settings.own_part + even_rate * (1.0 - settings.own_part);
     let rest = view.prepaid.saturating_sub(view.granted_to_all);
-    let idle_share = initial.min(rest.0 as f64 / (2.0 * processes));
+    let left_part = rest.0 as f64 / (view.prepaid.0 as f64).max(1.0);
+    let bridge_s = settings.least_bridge_s + settings.bridge_growth_s * left_part;
+    let by_rate = rate * bridge_s;
+    // Without calls, an equal part of what is left keeps the first call from waiting.
+    let initial = view.prepaid.0 as f64 * settings.initial_part * left_part * left_part;
+    let idle_share = initial / processes;
     Tokens(by_rate.max(idle_share) as u64)
 }
 
--- a/crates/toucan_gateway/src/budget/grant_book.rs
+++ b/crates/toucan_gateway/src/budget/grant_book.rs
@@ -1,6 +1,6 @@
 //! All grants of one partition of the keyed log.
 
-use toucan_types::{DocumentVersion, FastHashMap, OrganisationName, Tokens};
+use toucan_types::{DocumentVersion, FastHashMap, OrganisationName, Tokens, VmName};
 
 use super::{GrantKey, GrantOwner, GrantRecord, Holder};
 
@@ -63,6 +63,29 @@
             .fold(Tokens::ZERO, |sum, record| sum.saturating_add(record.spent))
     }
 
+    /// Tokens a second that the calls of all processes ask for, as they last wrote.
+    ///
+    /// Processes on VMs for which `is_live` is false no longer serve calls.
+    #[must_use]
+    pub fn rate_per_s(
+        &self,
+        organisation: &OrganisationName,
+        is_live: impl Fn(&VmName) -> bool,
+    ) -> u64 {
+        let Some(account) = self.accounts.get(organisation) else {
+            return 0;
+        };
+        account
+            .by_owner
+            .iter()
+            .filter(|(owner, _record)| match owner {
+                GrantOwner::Holder(holder) => is_live(&holder.vm),
+                GrantOwner::FormerHolders => false,
+            })
+            .map(|(_owner, record)| record.rate_per_s)
+            .sum()
+    }
+
     /// The most that may be granted, if `configured` is what this VM's configuration says.
     ///
     /// A newer configuration that another writer has seen goes first, higher or lower.
--- a/crates/toucan_gateway/src/budget/grant_record.rs
+++ b/crates/toucan_gateway/src/budget/grant_record.rs
@@ -44,6 +44,8 @@
     pub returned: Tokens,
     /// Tokens that the owner had spent when it wrote the record.
     pub spent: Tokens,
+    /// Tokens a second that the owner's calls asked for when it wrote the record.
+    pub rate_per_s: u64,
     /// Version of the configuration that gave `prepaid`.
     pub config_version: DocumentVersion,
     /// Most tokens of the organisation, as the writer knew it.
--- a/crates/toucan_gateway/src/budget/grant_writer.rs
+++ b/crates/toucan_gateway/src/budget/grant_writer.rs
@@ -18,6 +18,8 @@
     pub waiting: Tokens,
     /// Processes that draw from the budget.
     pub processes: u32,
+    /// Tokens a second that the calls of the other processes ask for.
+    pub others_rate_per_s: u64,
     /// Whether the process stops and returns all that is idle.
     pub is_stopping: bool,
 }
@@ -107,6 +109,7 @@
             drawn,
             returned: wallet.returned(),
             spent: wallet.spent(),
+            rate_per_s: wallet.rate_per_s(now_ms) as u64,
             config_version,
             prepaid,
         })
@@ -141,6 +144,7 @@
                         drawn: Tokens::ZERO,
                         returned: Tokens::ZERO,
                         spent: Tokens::ZERO,
+                        rate_per_s: 0,
                         config_version: record.config_version,
                         prepaid: record.prepaid,
                     })
@@ -190,6 +194,7 @@
         available: wallet.available(),
         waiting: view.waiting,
         rate_per_s: wallet.rate_per_s(now_ms),
+        others_rate_per_s: view.others_rate_per_s as f64,
         processes: view.processes,
     };
     decide_draw(&draw, settings)
--- a/crates/toucan_gateway/src/core.rs
+++ b/crates/toucan_gateway/src/core.rs
@@ -32,6 +32,8 @@
     pub(crate) waiting: FastHashMap<OrganisationName, Tokens>,
     /// What is left of each budget for certain, as last read from the store.
     pub(crate) budget_views: FastHashMap<OrganisationName, BudgetView>,
+    /// Calls that found no tokens anywhere, by organisation.
+    pub(crate) shortages: FastHashMap<OrganisationName, ShortageNote>,
     /// Other gateways.
     pub(crate) members: Members,
     /// Allowances of retries by service.
@@ -55,7 +57,41 @@
     pub(crate) spent: Tokens,
 }
 
+/// A call that found no tokens anywhere.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ShortageNote {
+    at_ms: u64,
+    tokens: Tokens,
+}
+
 impl Core {
+    /// Notes that nobody had so many tokens.
+    pub(crate) fn note_short(
+        &mut self,
+        organisation: &OrganisationName,
+        tokens: Tokens,
+        now_ms: u64,
+    ) {
+        let note = ShortageNote {
+            at_ms: now_ms,
+            tokens,
+        };
+        self.shortages.insert(organisation.clone(), note);
+    }
+
+    /// Whether nobody had so many tokens within the last `within_ms`.
+    pub(crate) fn is_short(
+        &self,
+        organisation: &OrganisationName,
+        tokens: Tokens,
+        now_ms: u64,
+        within_ms: u64,
+    ) -> bool {
+        self.shortages
+            .get(organisation)
+            .is_some_and(|note| now_ms < note.at_ms + within_ms && tokens >= note.tokens)
+    }
+
     /// Whether new calls may be accepted.
     pub(crate) const fn is_ready(&self) -> bool {
         self.config.is_some()
--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -26,6 +26,8 @@
 
 /// Time between two looks at the wallets, if no call waits.
 const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two readings while calls wait for tokens.
+const READ_PAUSE: Duration = Duration::from_millis(40);
 /// Tries to append before the next look; each lost race means that another process appended.
 const MOST_RACES: u32 = 8;
 /// Longest pause after a lost race.
@@ -68,6 +70,8 @@
         let pause = match bring_up_to_date(&gateway, &mut partitions).await {
             Ok(()) => {
                 health.answered(gateway.now_ms());
+                // Calls that wait ask again and again; what the store holds changes less often.
+                sleep(READ_PAUSE).await;
                 LOOK_INTERVAL
             }
             Err(error) => health.failed(&error, gateway.now_ms()),
@@ -145,7 +149,7 @@
         let now_ms = gateway.now_ms();
         let core = &mut *gateway.core.borrow_mut();
         organisations.iter().any(|organisation| {
-            let Some(view) = organisation_view(core, organisation, now_ms) else {
+            let Some(view) = self.view_of(core, organisation, now_ms) else {
                 return false;
             };
             let wallet = core.wallet(&organisation.name);
@@ -238,7 +242,7 @@
         let mut records = Vec::new();
         for organisation in organisations {
             let name = &organisation.name;
-            let Some(view) = organisation_view(core, organisation, now_ms) else {
+            let Some(view) = self.view_of(core, organisation, now_ms) else {
                 continue;
             };
             let wallet = core.wallet(name);
@@ -247,9 +251,34 @@
                 .writer
                 .decide(name, &self.book, wallet, &view, &DRAW, now_ms);
             if let Some(record) = decided {
+                log::info!(
+                    target: "budget",
+                    organisation = name.as_str(),
+                    drawn_tokens = record.drawn.0,
+                    returned_tokens = record.returned.0,
+                    spent_tokens = record.spent.0,
+                    available_tokens = wallet.available().0,
+                    waiting_tokens = view.waiting.0,
+                    rate_per_s = record.rate_per_s,
+                    others_rate_per_s = view.others_rate_per_s,
+                    processes = view.processes,
+                    prepaid_tokens = record.prepaid.0,
+                    granted_to_all_tokens = self.book.granted(name).0;
+                    "grant decided"
+                );
                 records.push(encode(&self.writer.key(name), Some(record))?);
             }
         }
+        for (organisation, former, record) in self.book.replaced_by(&gateway.holder()) {
+            log::info!(
+                target: "budget",
+                organisation = organisation.as_str(),
+                start = former.start,
+                granted_tokens = record.granted().0,
+                spent_tokens = record.spent.0;
+                "what a former process of this VM held counts as spent"
+            );
+        }
         for (key, record) in self.writer.absorb_former(&self.book) {
             records.push(encode(&key, record)?);
         }
@@ -276,6 +305,25 @@
         Ok(())
     }
 
+    fn view_of(
+        &self,
+        core: &Core,
+        organisation: &Organisation,
+        now_ms: u64,
+    ) -> Option<OrganisationView> {
+        let name = &organisation.name;
+        Some(OrganisationView {
+            config_version: core.config.as_ref()?.version,
+            prepaid: organisation.prepaid?,
+            waiting: core.waiting.get(name).copied().unwrap_or(Tokens::ZERO),
+            processes: core.members.processes(now_ms),
+            others_rate_per_s: self
+                .book
+                .rate_per_s(name, |vm| core.members.is_live(vm, now_ms)),
+            is_stopping: core.stopping_since_ms.is_some(),
+        })
+    }
+
     /// Tells calls what the store says of their budgets.
     fn publish(&self, core: &mut Core, read_at_ms: u64, organisations: &[Rc<Organisation>]) {
         let Some(version) = core.config.as_ref().map(|config| config.version) else {
@@ -300,24 +348,6 @@
 
 const DRAW: DrawSettings = DrawSettings::DEFAULT;
 
-fn organisation_view(
-    core: &Core,
-    organisation: &Organisation,
-    now_ms: u64,
-) -> Option<OrganisationView> {
-    Some(OrganisationView {
-        config_version: core.config.as_ref()?.version,
-        prepaid: organisation.prepaid?,
-        waiting: core
-            .waiting
-            .get(&organisation.name)
-            .copied()
-            .unwrap_or(Tokens::ZERO),
-        processes: core.members.processes(now_ms),
-        is_stopping: core.stopping_since_ms.is_some(),
-    })
-}
-
 fn encode(key: &GrantKey, record: Option<GrantRecord>) -> Result<KeyedRecord, GrantError> {
     let value = match record {
         Some(record) => Some(Bytes::from(record.encode().map_err(GrantError::Record)?)),
--- a/crates/toucan_gateway/src/duties/member_duty.rs
+++ b/crates/toucan_gateway/src/duties/member_duty.rs
@@ -15,7 +15,7 @@
 use super::{store_health::StoreHealth, topic_follower::TopicFollower};
 
 /// Longest wait for a change of the list in one call.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_secs(2);
 /// Where gateways register.
 const MEMBERS: Partition = Partition {
     topic: Topic::Members,
--- a/crates/toucan_gateway/src/duties/peer_duty.rs
+++ b/crates/toucan_gateway/src/duties/peer_duty.rs
@@ -85,10 +85,14 @@
     }
     match datagram.message {
         PeerMessage::Load(calls) => note_load(gateway, datagram.start, &calls, now_ms),
+        PeerMessage::AskLoan { lender_start, .. } if lender_start != gateway.start() => {
+            log::debug!(target: "budget", vm = datagram.vm.as_str(); "a loan was asked of a former process of this VM");
+        }
         PeerMessage::AskLoan {
             id,
             organisation,
             tokens,
+            lender_start: _,
         } => {
             let asker = (datagram.vm, datagram.start, id);
             answer_ask(gateway, asker, organisation, tokens, now_ms);
@@ -97,7 +101,7 @@
             id,
             organisation,
             tokens,
-        } => take_loan(gateway, &datagram.vm, id, &organisation, tokens),
+        } => take_loan(gateway, (&datagram.vm, datagram.start), id, &organisation, tokens),
     }
 }
 
@@ -155,12 +159,16 @@
 
 fn take_loan<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    lender: &VmName,
+    (lender, lender_start): (&VmName, u64),
     id: LoanId,
     organisation: &OrganisationName,
     tokens: Tokens,
 ) {
-    if !gateway.lending.borrow_mut().accept(id, organisation) {
+    let is_accepted = gateway
+        .lending
+        .borrow_mut()
+        .accept(id, organisation, lender, lender_start);
+    if !is_accepted {
         log::debug!(target: "budget", vm = lender.as_str(), id = id.0; "a loan came twice or too late");
         return;
     }
--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -22,8 +22,10 @@
     BodyUnreadable,
     /// the organisation's budget does not cover the call
     BudgetSpent,
-    /// the tokens for the call could not be had in time
+    /// the tokens for the call could not be had while the store is away
     BudgetNotReachable,
+    /// the rest of the budget is in use at other VMs or lost with former ones
+    BudgetInUse,
     /// no target can take the call
     NoTarget,
     /// the target refused the call without running it
@@ -52,6 +54,7 @@
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::NotConfigured
             | Self::BudgetNotReachable
+            | Self::BudgetInUse
             | Self::NoTarget
             | Self::TargetFull
             | Self::TooLate
@@ -75,7 +78,9 @@
             Self::Stopping => 50,
             Self::TargetFull | Self::NoTarget => 250,
             Self::NotConfigured => 500,
-            Self::BudgetNotReachable => 700,
+            Self::BudgetNotReachable => 1_000,
+            // Tokens come back only as other calls end below their most, or with a top-up.
+            Self::BudgetInUse => 5_000,
             _ => return None,
         };
         Some(Duration::from_millis(ms))
@@ -93,6 +98,7 @@
             Self::BodyUnreadable => "body_unreadable",
             Self::BudgetSpent => "budget_spent",
             Self::BudgetNotReachable => "budget_not_reachable",
+            Self::BudgetInUse => "budget_in_use",
             Self::NoTarget => "no_target",
             Self::TargetFull => "target_full",
             Self::TooLate => "too_late",
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -82,7 +82,7 @@
     /// # Errors
     ///
     /// [`StartError`] if an address cannot be listened on.
-    pub async fn start(platform: P, settings: GatewaySettings) -> Result<Rc<Self>, StartError> {
+    pub async fn launch(platform: P, settings: GatewaySettings) -> Result<Rc<Self>, StartError> {
         let gateway = Rc::new(Self {
             platform,
             settings,
@@ -171,6 +171,11 @@
         boot_time_ms()
     }
 
+    /// Random number of this start of the process.
+    pub(crate) const fn start(&self) -> u64 {
+        self.start
+    }
+
     /// This process as a holder of grants.
     pub(crate) fn holder(&self) -> Holder {
         Holder {
@@ -222,26 +227,30 @@
     /// Asks some other gateways for a loan.
     pub(crate) fn ask_peers(&self, organisation: &OrganisationName, lacking: Tokens) {
         let now_ms = self.now_ms();
-        let mut vms: Vec<VmName> = {
+        let mut peers: Vec<(VmName, u64)> = {
             let core = self.core.borrow();
             core.members
                 .live(now_ms)
-                .map(|(vm, _member)| vm.clone())
+                .map(|(vm, member)| (vm.clone(), member.entry.start))
                 .collect()
         };
-        vms.sort_unstable();
+        peers.sort_unstable();
         let chosen = self
             .lending
             .borrow_mut()
-            .next_round(organisation, vms.len(), now_ms);
-        for at in chosen {
-            let id = self.lending.borrow_mut().ask(organisation);
+            .next_round(organisation, peers.len(), now_ms);
+        for (vm, lender_start) in chosen.into_iter().filter_map(|at| peers.get(at)) {
+            let (id, tokens) =
+                self.lending
+                    .borrow_mut()
+                    .ask(organisation, vm, *lender_start, lacking);
             let message = PeerMessage::AskLoan {
                 id,
+                lender_start: *lender_start,
                 organisation: organisation.clone(),
-                tokens: lacking,
+                tokens,
             };
-            self.send_to_peers(vms.get(at).into_iter(), &message);
+            self.send_to_peers(std::iter::once(vm), &message);
         }
     }
 
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -21,6 +21,9 @@
     AskLoan {
         /// Number of the request.
         id: LoanId,
+        /// Start of the process that is asked. Another process under the same address must not lend,
+        /// because the asker could not authenticate its answer.
+        lender_start: u64,
         /// Organisation whose tokens are lacking.
         organisation: OrganisationName,
         /// Tokens that are lacking.
--- a/crates/toucan_gateway/src/peers/lending.rs
+++ b/crates/toucan_gateway/src/peers/lending.rs
@@ -22,13 +22,23 @@
 #[derive(Debug, Default)]
 pub struct Lending {
     last_id: u64,
-    asked: FastHashMap<LoanId, OrganisationName>,
-    asked_order: VecDeque<LoanId>,
+    open: FastHashMap<LoanId, OpenRequest>,
+    open_order: VecDeque<LoanId>,
+    unanswered: FastHashMap<(OrganisationName, VmName), LoanId>,
     given: FastHashMap<LoanKey, Tokens>,
     given_order: VecDeque<LoanKey>,
     rounds: FastHashMap<OrganisationName, Round>,
 }
 
+/// A request that has not been answered.
+#[derive(Clone, Debug)]
+struct OpenRequest {
+    organisation: OrganisationName,
+    lender: VmName,
+    lender_start: u64,
+    tokens: Tokens,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Round {
     began_ms: u64,
@@ -57,27 +67,62 @@
         (first..first + asked).map(|at| at % peers).collect()
     }
 
-    /// The number of a new request.
-    pub fn ask(&mut self, organisation: &OrganisationName) -> LoanId {
+    /// The request to be sent to a gateway: the one that it has not answered, or else a new one.
+    ///
+    /// A repeated request brings back a loan whose datagram was lost.
+    pub fn ask(
+        &mut self,
+        organisation: &OrganisationName,
+        lender: &VmName,
+        lender_start: u64,
+        tokens: Tokens,
+    ) -> (LoanId, Tokens) {
+        let place = (organisation.clone(), lender.clone());
+        if let Some(id) = self.unanswered.get(&place) {
+            if let Some(open) = self.open.get(id) {
+                if open.lender_start == lender_start {
+                    return (*id, open.tokens);
+                }
+            }
+        }
         self.last_id += 1;
         let id = LoanId(self.last_id);
-        self.asked.insert(id, organisation.clone());
-        self.asked_order.push_back(id);
-        if self.asked_order.len() > MOST_REMEMBERED {
-            if let Some(oldest) = self.asked_order.pop_front() {
-                self.asked.remove(&oldest);
+        let request = OpenRequest {
+            organisation: organisation.clone(),
+            lender: lender.clone(),
+            lender_start,
+            tokens,
+        };
+        self.unanswered.insert(place, id);
+        self.open.insert(id, request);
+        self.open_order.push_back(id);
+        if self.open_order.len() > MOST_REMEMBERED {
+            if let Some(oldest) = self.open_order.pop_front() {
+                self.open.remove(&oldest);
             }
         }
-        id
+        (id, tokens)
     }
 
     /// Whether a loan answers a request that was not answered before; it counts once.
-    pub fn accept(&mut self, id: LoanId, organisation: &OrganisationName) -> bool {
-        if self.asked.get(&id) != Some(organisation) {
-            return false;
+    pub fn accept(
+        &mut self,
+        id: LoanId,
+        organisation: &OrganisationName,
+        lender: &VmName,
+        lender_start: u64,
+    ) -> bool {
+        let is_open = self.open.get(&id).is_some_and(|open| {
+            open.organisation == *organisation
+                && open.lender == *lender
+                && open.lender_start == lender_start
+        });
+        if is_open {
+            self.open.remove(&id);
+            self.unanswered
+                .remove(&(organisation.clone(), lender.clone()));
         }
-        self.asked.remove(&id);
-        true
+        is_open
     }
 
     /// The loan that was given for a request before.
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -27,6 +27,12 @@
     pub(crate) heard_at_ms: u64,
 }
 
+impl Member {
+    fn is_live(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.heard_at_ms) <= HEARD_MS
+    }
+}
+
 /// All registered gateways but this one.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Members {
@@ -71,10 +77,15 @@
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Whether another gateway is running.
+    pub(crate) fn is_live(&self, vm: &VmName, now_ms: u64) -> bool {
+        self.by_vm.get(vm).is_some_and(|member| member.is_live(now_ms))
+    }
+
     /// Gateways that are running, but this one.
     pub(crate) fn live(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
         self.by_vm
             .iter()
-            .filter(move |(_vm, member)| now_ms.saturating_sub(member.heard_at_ms) <= HEARD_MS)
+            .filter(move |(_vm, member)| member.is_live(now_ms))
     }
 }
--- a/crates/toucan_gateway/src/serving/reserve.rs
+++ b/crates/toucan_gateway/src/serving/reserve.rs
@@ -3,18 +3,24 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::timeout;
-use toucan_types::Tokens;
+use toucan_types::{OrganisationName, Tokens};
 
 use crate::{
     Gateway, Platform, Refusal,
     budget::Shortage,
     config::Organisation,
+    core::Core,
 };
 
 /// Longest wait for tokens from the store or from other VMs.
-const MOST_WAIT_MS: u64 = 600;
+const MOST_WAIT_MS: u64 = 400;
+/// Wait after which a call is refused if the store was read meanwhile and has no tokens left. Other
+/// VMs answer within a few milliseconds, so some of them were asked by then.
+const MOST_WAIT_WITHOUT_REST_MS: u64 = 90;
+/// Time after such a refusal for which calls that need as much are refused without a wait.
+const SHORT_MS: u64 = 500;
 /// Time between two looks for tokens while a call waits.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+const LOOK_INTERVAL: Duration = Duration::from_millis(30);
 
 /// Reserves the most that a call may cost in its organisation's wallet.
 ///
@@ -27,7 +33,6 @@
     deadline_ms: u64,
 ) -> Result<(), (Refusal, &'static str)> {
     let began_ms = gateway.now_ms();
-    let until_ms = deadline_ms.min(began_ms + MOST_WAIT_MS);
     let name = &organisation.name;
     gateway
         .core
@@ -44,8 +49,13 @@
         if gateway.is_spent(name, tokens, began_ms) {
             return Err((Refusal::BudgetSpent, "the store's records leave too little"));
         }
-        if now_ms >= until_ms {
-            return Err((Refusal::BudgetNotReachable, shortage_reason(shortage)));
+        let refused = refusal(&gateway.core.borrow(), name, tokens, began_ms, deadline_ms, now_ms);
+        if let Some((refusal, reason)) = refused {
+            log_shortage(gateway, organisation, tokens, now_ms);
+            if refusal == Refusal::BudgetInUse {
+                gateway.core.borrow_mut().note_short(name, tokens, now_ms);
+            }
+            return Err((refusal, reason));
         }
         if waiting.is_none() {
             waiting = Some(WaitingCall::begin(gateway, organisation, tokens));
@@ -59,11 +69,57 @@
     }
 }
 
-const fn shortage_reason(shortage: Shortage) -> &'static str {
-    match shortage {
-        Shortage::Lacking(_) => "no tokens came in time",
-        Shortage::Frozen => "a lower total is being checked",
+/// Whether a call that lacks tokens is refused now.
+fn refusal(
+    core: &Core,
+    organisation: &OrganisationName,
+    tokens: Tokens,
+    began_ms: u64,
+    deadline_ms: u64,
+    now_ms: u64,
+) -> Option<(Refusal, &'static str)> {
+    if core.is_short(organisation, tokens, now_ms, SHORT_MS) {
+        return Some((Refusal::BudgetInUse, "a call before found no tokens"));
+    }
+    let waited_ms = now_ms.saturating_sub(began_ms);
+    let view = core.budget_views.get(organisation);
+    let has_no_rest = view.is_some_and(|view| {
+        view.read_at_ms >= began_ms && view.prepaid.saturating_sub(view.granted).is_zero()
+    });
+    if has_no_rest && waited_ms >= MOST_WAIT_WITHOUT_REST_MS {
+        return Some((Refusal::BudgetInUse, "the store and other VMs have none left"));
+    }
+    if waited_ms >= MOST_WAIT_MS || now_ms >= deadline_ms {
+        return Some((Refusal::BudgetNotReachable, "no tokens came in time"));
     }
+    None
+}
+
+/// Tells what the refusal was decided from.
+fn log_shortage<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    organisation: &Organisation,
+    asked: Tokens,
+    now_ms: u64,
+) {
+    let mut core = gateway.core.borrow_mut();
+    let view = core
+        .budget_views
+        .get(&organisation.name)
+        .copied()
+        .unwrap_or_default();
+    let available = core.wallet(&organisation.name).available();
+    log::info!(
+        target: "budget",
+        organisation = organisation.name.as_str(),
+        asked_tokens = asked.0,
+        available_tokens = available.0,
+        prepaid_tokens = view.prepaid.0,
+        granted_to_all_tokens = view.granted.0,
+        spent_by_all_tokens = view.spent.0,
+        read_ms_ago = now_ms.saturating_sub(view.read_at_ms);
+        "tokens are lacking"
+    );
 }
 
 /// Counts the tokens that a call waits for, until it no longer does.
