Hold at most a quarter of what is unspent of a budget

Ruled out: reclaiming the reserve by the store's group membership (a late join can extend it after the reserve was opened) or by the time of day (it may step).

--- a/crates/toucan_gateway/src/budget/draw_sizing.rs
+++ b/crates/toucan_gateway/src/budget/draw_sizing.rs
@@ -5,11 +5,10 @@
 /// Settings of [`decide_draw`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DrawSettings {
-    /// Time that the tokens of all processes together should last without the store, when nothing
-    /// of the budget is left to be granted.
-    pub least_bridge_s: f64,
-    /// Time by which that grows in proportion to the part of the budget that is left.
-    pub bridge_growth_s: f64,
+    /// Longest time that the tokens of all processes together should last without the store.
+    pub bridge_s: f64,
+    /// Largest part of the tokens that are not spent yet that all processes hold together.
+    pub most_held_part: f64,
     /// Part of the target that follows the process's own rate; the rest is shared out evenly.
     pub own_part: f64,
     /// Part of the target at or below which more are drawn.
@@ -26,10 +25,11 @@
 impl DrawSettings {
     /// The settings of a gateway.
     pub const DEFAULT: Self = Self {
-        // A usual outage of the store lasts 8 to 9 s. What is in hand when a process dies is lost,
-        // which a budget of which much is left bears better.
-        least_bridge_s: 6.0,
-        bridge_growth_s: 8.0,
+        // Longer than a usual outage of the store, which lasts 8 to 9 s.
+        bridge_s: 12.0,
+        // What is in hand when processes die is lost. A budget that runs out soon bears that less
+        // than calls that are refused during an outage, whose tokens serve later calls.
+        most_held_part: 0.25,
         // Few calls of widely different sizes make a process's own rate uncertain, and processes
         // lend to each other.
         own_part: 0.5,
@@ -112,17 +112,20 @@
 /// Tokens that a process should have in hand.
 fn target_holding(view: &DrawView, settings: &DrawSettings) -> Tokens {
     let processes = f64::from(view.processes.max(1));
-    let even_rate = (view.rate_per_s + view.others_rate_per_s) / processes;
-    let rate =
-        view.rate_per_s * settings.own_part + even_rate * (1.0 - settings.own_part);
-    let rest = view.prepaid.saturating_sub(view.granted_to_all);
-    let left_part = rest.0 as f64 / (view.prepaid.0 as f64).max(1.0);
-    let bridge_s = settings.least_bridge_s + settings.bridge_growth_s * left_part;
-    let by_rate = rate * bridge_s;
+    let rest = view.prepaid.saturating_sub(view.granted_to_all).0 as f64;
+    let unspent = rest + view.available.0 as f64 * processes;
+    let fleet_rate = view.rate_per_s + view.others_rate_per_s;
+    let held_by_all = (fleet_rate * settings.bridge_s).min(unspent * settings.most_held_part);
+    let own_share = if fleet_rate > 0.0 {
+        view.rate_per_s / fleet_rate
+    } else {
+        0.0
+    };
+    let share = own_share * settings.own_part + (1.0 - settings.own_part) / processes;
     // Without calls, an equal part of what is left keeps the first call from waiting.
+    let left_part = rest / (view.prepaid.0 as f64).max(1.0);
     let initial = view.prepaid.0 as f64 * settings.initial_part * left_part * left_part;
-    let idle_share = initial / processes;
-    Tokens(by_rate.max(idle_share) as u64)
+    Tokens((held_by_all * share).max(initial / processes) as u64)
 }
 
 fn scaled(tokens: Tokens, factor: f64) -> Tokens {
