--- a/crates/toucan_gateway/src/duties/peer_duty.rs
+++ b/crates/toucan_gateway/src/duties/peer_duty.rs
@@ -53,6 +53,7 @@
             .map(|target| TargetCalls {
                 target: target.entry.name.clone(),
                 in_flight: target.in_flight,
+                unread_tokens: target.unread_tokens,
             })
             .collect();
         let vms: Vec<VmName> = gateway
@@ -115,7 +116,7 @@
     core.targets.forget_peer(peer);
     for call in calls {
         if let Some(state) = core.targets.get_mut(&call.target) {
-            state.note_peer(peer, call.in_flight, now_ms);
+            state.note_peer(peer, call.in_flight, call.unread_tokens, now_ms);
         }
     }
 }
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -47,6 +47,8 @@
     pub target: TargetName,
     /// Calls that it works on.
     pub in_flight: u32,
+    /// Prompt tokens of those calls that it still has to read.
+    pub unread_tokens: u64,
 }
 
 /// A message with its sender.
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -21,7 +21,11 @@
     pub failure_delay_ms: f64,
     /// Delay that a target in another data centre is taken to add.
     pub other_data_centre_ms: f64,
-    /// Part of an uncached prompt that counts for the target which all VMs prefer for it.
+    /// Weight of the time to read shared parts again. Reading them delays the other calls at the
+    /// target and evicts what it holds, so it costs more than the call's own time.
+    pub read_again_weight: f64,
+    /// Part of that time which counts for the target that all VMs prefer for the prompt, if this VM
+    /// has not sent it there yet; another one probably has.
     pub home_part: f64,
 }
 
@@ -33,7 +37,8 @@
             delay_per_slot_ms: 40.0,
             failure_delay_ms: 2_000.0,
             other_data_centre_ms: 2.0,
-            home_part: 0.3,
+            read_again_weight: 3.0,
+            home_part: 0.1,
         }
     }
 }
@@ -103,7 +108,7 @@
     let slots = f64::from(target.entry.slots.max(1));
     let over = (load + 1.0 - slots).max(0.0);
     let work_ms = if request.engine.is_some() {
-        let reading_ms = target.unread_tokens as f64 / settings.tokens_read_per_ms;
+        let reading_ms = target.unread(now_ms) as f64 / settings.tokens_read_per_ms;
         load * settings.delay_per_call_ms
             + reading_ms
             + prompt_ms(request, target, is_home, settings, now_ms)
@@ -114,7 +119,9 @@
     failures_ms + distance_ms + work_ms
 }
 
-/// Time that the target takes to read the part of the prompt that it does not hold.
+/// What it costs that the target does not hold the shared parts of the prompt.
+///
+/// The last part belongs to the call or its session; all targets have to read it.
 fn prompt_ms(
     request: &ChoiceRequest<'_>,
     target: &TargetState,
@@ -123,12 +130,14 @@
     now_ms: u64,
 ) -> f64 {
     let all: u64 = request.parts.iter().map(|part| part.tokens).sum();
+    let own = request.parts.last().map_or(0, |part| part.tokens);
     let cached = target.parts.cached_tokens(request.parts, now_ms);
-    let lacking = all.saturating_sub(cached) as f64 / settings.tokens_read_per_ms;
+    let lacking_shared = all.saturating_sub(own).saturating_sub(cached) as f64;
+    let again_ms = lacking_shared / settings.tokens_read_per_ms * settings.read_again_weight;
     if is_home && cached == 0 {
-        lacking * settings.home_part
+        again_ms * settings.home_part
     } else {
-        lacking
+        again_ms
     }
 }
 
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -29,6 +29,7 @@
 #[derive(Clone, Copy, Debug)]
 struct PeerLoad {
     in_flight: u32,
+    unread_tokens: u64,
     at_ms: u64,
 }
 
@@ -49,10 +50,11 @@
         }
     }
 
-    /// Notes how many calls another VM has here.
-    pub fn note_peer(&mut self, peer: u64, in_flight: u32, now_ms: u64) {
+    /// Notes how many calls another VM has here, and what is still to be read of their prompts.
+    pub fn note_peer(&mut self, peer: u64, in_flight: u32, unread_tokens: u64, now_ms: u64) {
         let load = PeerLoad {
             in_flight,
+            unread_tokens,
             at_ms: now_ms,
         };
         self.by_peer.insert(peer, load);
@@ -66,12 +68,20 @@
     /// Calls that it works on, as far as this VM knows.
     #[must_use]
     pub fn load(&self, now_ms: u64) -> u32 {
-        let of_peers: u32 = self
-            .by_peer
-            .values()
-            .filter(|load| now_ms.saturating_sub(load.at_ms) <= PEER_LOAD_MS)
-            .map(|load| load.in_flight)
-            .sum();
+        let of_peers: u32 = self.recent(now_ms).map(|load| load.in_flight).sum();
         self.in_flight + of_peers
     }
+
+    /// Prompt tokens that it still has to read, as far as this VM knows.
+    #[must_use]
+    pub fn unread(&self, now_ms: u64) -> u64 {
+        let of_peers: u64 = self.recent(now_ms).map(|load| load.unread_tokens).sum();
+        self.unread_tokens + of_peers
+    }
+
+    fn recent(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
+        self.by_peer
+            .values()
+            .filter(move |load| now_ms.saturating_sub(load.at_ms) <= PEER_LOAD_MS)
+    }
 }
