--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -37,8 +37,8 @@
             delay_per_slot_ms: 40.0,
             failure_delay_ms: 2_000.0,
             other_data_centre_ms: 2.0,
-            read_again_weight: 3.0,
-            home_part: 0.1,
+            read_again_weight: 6.0,
+            home_part: 0.05,
         }
     }
 }
