--- a/crates/toucan_gateway/src/budget/grant_book.rs
+++ b/crates/toucan_gateway/src/budget/grant_book.rs
@@ -30,10 +30,7 @@
             return;
         };
         let seen = (record.config_version, record.prepaid);
-        if account
-            .newest_prepaid
-            .is_none_or(|known| known.0 <= seen.0)
-        {
+        if account.newest_prepaid.is_none_or(|known| known.0 <= seen.0) {
             account.newest_prepaid = Some(seen);
         }
         account.by_owner.insert(key.owner, record);
@@ -45,10 +42,9 @@
         let Some(account) = self.accounts.get(organisation) else {
             return Tokens::ZERO;
         };
-        account
-            .by_owner
-            .values()
-            .fold(Tokens::ZERO, |sum, record| sum.saturating_add(record.granted()))
+        account.by_owner.values().fold(Tokens::ZERO, |sum, record| {
+            sum.saturating_add(record.granted())
+        })
     }
 
     /// Tokens that owners have reported as spent; they may have spent more since.
--- a/crates/toucan_gateway/src/budget/grant_record.rs
+++ b/crates/toucan_gateway/src/budget/grant_record.rs
@@ -126,9 +126,8 @@
     ///
     /// [`GrantRecordError`] if the bytes are no record.
     pub fn decode(bytes: &[u8]) -> Result<Self, GrantRecordError> {
-        let (record, _read) =
-            bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-                .map_err(|error| GrantRecordError(error.to_string()))?;
+        let (record, _read) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
+            .map_err(|error| GrantRecordError(error.to_string()))?;
         Ok(record)
     }
 }
--- a/crates/toucan_gateway/src/config/key_ring.rs
+++ b/crates/toucan_gateway/src/config/key_ring.rs
@@ -37,8 +37,7 @@
             for key in &organisation.keys {
                 ring.by_key.insert(*key, Rc::clone(&organisation));
             }
-            ring.by_name
-                .insert(organisation.name.clone(), organisation);
+            ring.by_name.insert(organisation.name.clone(), organisation);
         }
         ring
     }
--- a/crates/toucan_gateway/src/config/route.rs
+++ b/crates/toucan_gateway/src/config/route.rs
@@ -20,10 +20,7 @@
     /// Whether a call that may have run can be sent again from its start.
     #[must_use]
     pub const fn may_run_again(self) -> bool {
-        matches!(
-            self,
-            Self::Idempotent | Self::Streaming { resumable: true }
-        )
+        matches!(self, Self::Idempotent | Self::Streaming { resumable: true })
     }
 
     /// Whether the answer is a sequence of events.
--- a/crates/toucan_gateway/src/core.rs
+++ b/crates/toucan_gateway/src/core.rs
@@ -6,8 +6,7 @@
 use toucan_types::{FastHashMap, OrganisationName, Permille, ServiceName, Tokens};
 
 use crate::{
-    budget::Wallet, config::FleetConfig, peers::Members, placement::TargetTable,
-    settings::Bounds,
+    budget::Wallet, config::FleetConfig, peers::Members, placement::TargetTable, settings::Bounds,
 };
 
 /// Part of the fleet's allowance of retries that its VMs use together.
@@ -103,8 +102,7 @@
     /// The wallet of an organisation.
     pub(crate) fn wallet(&mut self, organisation: &OrganisationName) -> &mut Wallet {
         if !self.wallets.contains_key(organisation) {
-            self.wallets
-                .insert(organisation.clone(), Wallet::default());
+            self.wallets.insert(organisation.clone(), Wallet::default());
         }
         self.wallets
             .get_mut(organisation)
--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -1,9 +1,6 @@
 //! Draws tokens from the store and returns idle ones.
 
-use std::{
-    rc::Rc,
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -110,7 +107,9 @@
             .map(Rc::clone)
             .collect();
         if !partition.is_read || partition.is_due(gateway, &organisations) {
-            partition.update(gateway, config.version, &organisations).await?;
+            partition
+                .update(gateway, config.version, &organisations)
+                .await?;
         }
     }
     let mut core = gateway.core.borrow_mut();
--- a/crates/toucan_gateway/src/duties/peer_duty.rs
+++ b/crates/toucan_gateway/src/duties/peer_duty.rs
@@ -102,16 +102,17 @@
             id,
             organisation,
             tokens,
-        } => take_loan(gateway, (&datagram.vm, datagram.start), id, &organisation, tokens),
+        } => take_loan(
+            gateway,
+            (&datagram.vm, datagram.start),
+            id,
+            &organisation,
+            tokens,
+        ),
     }
 }
 
-fn note_load<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    peer: u64,
-    calls: &[TargetCalls],
-    now_ms: u64,
-) {
+fn note_load<P: Platform>(gateway: &Rc<Gateway<P>>, peer: u64, calls: &[TargetCalls], now_ms: u64) {
     let mut core = gateway.core.borrow_mut();
     core.targets.forget_peer(peer);
     for call in calls {
--- a/crates/toucan_gateway/src/duties/stop_duty.rs
+++ b/crates/toucan_gateway/src/duties/stop_duty.rs
@@ -41,7 +41,9 @@
     match timeout(STORE_TIMEOUT, deregister(gateway)).await {
         Ok(Ok(())) => {}
         Ok(Err(error)) => log::warn!(target: "members", error:% = error; "not deregistered"),
-        Err(_elapsed) => log::warn!(target: "members", "not deregistered, the store did not answer"),
+        Err(_elapsed) => {
+            log::warn!(target: "members", "not deregistered, the store did not answer");
+        }
     }
     let cut_off = gateway.core.borrow().calls_in_progress;
     log::info!(
--- a/crates/toucan_gateway/src/duties/target_duty.rs
+++ b/crates/toucan_gateway/src/duties/target_duty.rs
@@ -40,7 +40,12 @@
                     now_ms
                 };
                 if followed.is_whole {
-                    note_missing(&gateway, &followed.batch.records, &mut lapsed, removed_at_ms);
+                    note_missing(
+                        &gateway,
+                        &followed.batch.records,
+                        &mut lapsed,
+                        removed_at_ms,
+                    );
                 }
                 for read in &followed.batch.records {
                     apply(&gateway, read, &mut lapsed, removed_at_ms);
--- a/crates/toucan_gateway/src/serving/event_splitter.rs
+++ b/crates/toucan_gateway/src/event_splitter.rs
@@ -7,7 +7,7 @@
 /// A target may stop in the middle of an event; the part of it that came is never passed on, so
 /// that another target can go on after the last whole event.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     pending: BytesMut,
     searched: usize,
     last_id: Option<String>,
@@ -21,7 +21,7 @@
 
 impl EventSplitter {
     /// Adds bytes and returns the whole events that they complete, as they came.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.pending.extend_from_slice(bytes);
         let mut whole = 0;
         while let Some(at) = find(&self.pending[self.searched..], EVENT_END) {
@@ -37,24 +37,26 @@
     }
 
     /// The bytes after the last whole event, at the regular end of a stream.
-    pub(crate) fn finish(&mut self) -> Bytes {
+    pub fn finish(&mut self) -> Bytes {
         self.searched = 0;
         self.pending.split().freeze()
     }
 
     /// Drops the bytes after the last whole event, before another target goes on.
-    pub(crate) fn drop_partial(&mut self) {
+    pub fn drop_partial(&mut self) {
         self.pending.clear();
         self.searched = 0;
     }
 
     /// Whole events so far.
-    pub(crate) const fn events(&self) -> u64 {
+    #[must_use]
+    pub const fn events(&self) -> u64 {
         self.events
     }
 
     /// Id of the last whole event.
-    pub(crate) fn last_id(&self) -> Option<&str> {
+    #[must_use]
+    pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
 
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -141,13 +141,25 @@
         let gateway = Rc::clone(self);
         let probes = move |request| answer_probe(Rc::clone(&gateway), request);
         let limits = CallerLimits::default;
-        spawn_local(serve_listener("readiness", readiness, limits, never_closed.clone(), probes));
+        spawn_local(serve_listener(
+            "readiness",
+            readiness,
+            limits,
+            never_closed.clone(),
+            probes,
+        ));
         let gateway = Rc::clone(self);
         let inspections = move |request| {
             let _open = &always_open;
             answer_inspection(Rc::clone(&gateway), request)
         };
-        spawn_local(serve_listener("metrics", metrics, limits, never_closed, inspections));
+        spawn_local(serve_listener(
+            "metrics",
+            metrics,
+            limits,
+            never_closed,
+            inspections,
+        ));
         Ok(())
     }
 
@@ -308,7 +320,8 @@
     }
 }
 
-type OwnAnswer = Response<AnswerBody<futures_util::stream::Empty<Result<bytes::Bytes, IncompleteAnswer>>>>;
+type OwnAnswer =
+    Response<AnswerBody<futures_util::stream::Empty<Result<bytes::Bytes, IncompleteAnswer>>>>;
 
 /// Answers the balancer.
 async fn answer_probe<P: Platform>(
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -13,7 +13,10 @@
 
 /// a connection cannot be set up: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[allow(clippy::doc_markdown, reason = "displaydoc takes the texts of errors from here")]
+#[allow(
+    clippy::doc_markdown,
+    reason = "displaydoc takes the texts of errors from here"
+)]
 pub enum ConnectError {
     /// the peer did not accept it in time
     TimedOut,
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -21,7 +21,11 @@
 /// The text at a path of the metrics address; [`None`] if there is none.
 pub(crate) fn inspect<P: Platform>(gateway: &Gateway<P>, path: &str) -> Option<String> {
     match path {
-        "/metrics" => Some(METRICS.get().map_or_else(String::new, PrometheusHandle::render)),
+        "/metrics" => Some(
+            METRICS
+                .get()
+                .map_or_else(String::new, PrometheusHandle::render),
+        ),
         "/state" => Some(state(gateway)),
         _ => None,
     }
--- a/crates/toucan_gateway/src/keyed_log.rs
+++ b/crates/toucan_gateway/src/keyed_log.rs
@@ -59,7 +59,10 @@
 
 /// the log cannot be read: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[allow(clippy::doc_markdown, reason = "displaydoc takes the texts of errors from here")]
+#[allow(
+    clippy::doc_markdown,
+    reason = "displaydoc takes the texts of errors from here"
+)]
 pub enum ReadError {
     /// the records at the offset are no longer kept
     Expired,
@@ -75,7 +78,10 @@
 
 /// An append that is known not to have taken effect, or whose fate is unknown.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[allow(clippy::doc_markdown, reason = "displaydoc takes the texts of errors from here")]
+#[allow(
+    clippy::doc_markdown,
+    reason = "displaydoc takes the texts of errors from here"
+)]
 pub enum AppendError {
     /// the partition ends at {0}, not where the append expected
     Moved(Offset),
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -64,7 +64,10 @@
 
 /// a datagram cannot be used: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[allow(clippy::doc_markdown, reason = "displaydoc takes the texts of errors from here")]
+#[allow(
+    clippy::doc_markdown,
+    reason = "displaydoc takes the texts of errors from here"
+)]
 pub enum DatagramError {
     /// it is too short
     TooShort,
@@ -108,8 +111,7 @@
         let (datagram, _read): (Self, usize) =
             bincode::serde::decode_from_slice(content, bincode::config::standard())
                 .map_err(|error| DatagramError::Unreadable(error.to_string()))?;
-        let key =
-            key_of(&datagram.vm, datagram.start).ok_or(DatagramError::UnknownSender)?;
+        let key = key_of(&datagram.vm, datagram.start).ok_or(DatagramError::UnknownSender)?;
         let expected = blake3::keyed_hash(&key, content);
         // The comparison of blake3's hashes takes the same time for all values.
         let mut whole = *expected.as_bytes();
--- a/crates/toucan_gateway/src/peers/lending.rs
+++ b/crates/toucan_gateway/src/peers/lending.rs
@@ -78,12 +78,11 @@
         tokens: Tokens,
     ) -> (LoanId, Tokens) {
         let place = (organisation.clone(), lender.clone());
-        if let Some(id) = self.unanswered.get(&place) {
-            if let Some(open) = self.open.get(id) {
-                if open.lender_start == lender_start {
-                    return (*id, open.tokens);
-                }
-            }
+        if let Some(id) = self.unanswered.get(&place)
+            && let Some(open) = self.open.get(id)
+            && open.lender_start == lender_start
+        {
+            return (*id, open.tokens);
         }
         self.last_id += 1;
         let id = LoanId(self.last_id);
@@ -96,10 +95,10 @@
         self.unanswered.insert(place, id);
         self.open.insert(id, request);
         self.open_order.push_back(id);
-        if self.open_order.len() > MOST_REMEMBERED {
-            if let Some(oldest) = self.open_order.pop_front() {
-                self.open.remove(&oldest);
-            }
+        if self.open_order.len() > MOST_REMEMBERED
+            && let Some(oldest) = self.open_order.pop_front()
+        {
+            self.open.remove(&oldest);
         }
         (id, tokens)
     }
@@ -135,10 +134,10 @@
     pub fn remember(&mut self, key: (VmName, u64, LoanId), tokens: Tokens) {
         self.given.insert(key.clone(), tokens);
         self.given_order.push_back(key);
-        if self.given_order.len() > MOST_REMEMBERED {
-            if let Some(oldest) = self.given_order.pop_front() {
-                self.given.remove(&oldest);
-            }
+        if self.given_order.len() > MOST_REMEMBERED
+            && let Some(oldest) = self.given_order.pop_front()
+        {
+            self.given.remove(&oldest);
         }
     }
 }
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -79,7 +79,9 @@
 
     /// Whether another gateway is running.
     pub(crate) fn is_live(&self, vm: &VmName, now_ms: u64) -> bool {
-        self.by_vm.get(vm).is_some_and(|member| member.is_live(now_ms))
+        self.by_vm
+            .get(vm)
+            .is_some_and(|member| member.is_live(now_ms))
     }
 
     /// Gateways that are running, but this one.
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -84,7 +84,11 @@
         .map(|target| {
             let is_home = home.as_ref() == Some(&target.entry.name);
             let delay_ms = expected_delay_ms(request, target, is_home, settings, now_ms);
-            (delay_ms, tie_break(request.draw, &target.entry.name), target)
+            (
+                delay_ms,
+                tie_break(request.draw, &target.entry.name),
+                target,
+            )
         })
         .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
         .map(|(_delay_ms, _tie, target)| target)
--- a/crates/toucan_gateway/src/serving/retry_rules.rs
+++ b/crates/toucan_gateway/src/retries/next_step.rs
@@ -2,27 +2,47 @@
 
 use crate::{Refusal, config::RouteKind, placement::CallEnd};
 
-use super::exchange::ExchangeFailure;
-
 /// Connections that may fail for one call before it is refused.
 const MOST_UNSENT_TRIES: u32 = 4;
 /// Time that must be left for another target to be worth trying.
 const LEAST_LEFT_MS: u64 = 20;
 
+/// Why a call has no usable answer of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendFailure {
+    /// It was certainly not sent.
+    NotSent(CallEnd),
+    /// The target says that it did not run it.
+    NotRun,
+    /// It may have run.
+    MayHaveRun(CallEnd),
+}
+
+impl SendFailure {
+    /// What it tells about the target.
+    #[must_use]
+    pub const fn call_end(self) -> CallEnd {
+        match self {
+            Self::NotSent(end) | Self::MayHaveRun(end) => end,
+            Self::NotRun => CallEnd::Shed,
+        }
+    }
+}
+
 /// What became of one call so far.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct CallProgress {
+pub struct CallProgress {
     /// Targets that it was sent to.
-    pub(crate) sends: u32,
+    pub sends: u32,
     /// Targets that it could not be sent to.
-    pub(crate) unsent: u32,
+    pub unsent: u32,
     /// Whether a target may have run it.
-    pub(crate) may_have_run: bool,
+    pub may_have_run: bool,
 }
 
 /// What is done after a failure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum NextStep {
+pub enum NextStep {
     /// Try another target, which takes nothing from the allowance of retries.
     TryUnsent,
     /// Send it again if the allowance of retries permits, else refuse it so.
@@ -32,8 +52,9 @@
 }
 
 /// Decides the next step; `progress` includes the failure.
-pub(crate) fn next_step(
-    failure: ExchangeFailure,
+#[must_use]
+pub fn next_step(
+    failure: SendFailure,
     progress: CallProgress,
     kind: RouteKind,
     most_targets: u32,
@@ -45,9 +66,9 @@
     }
     let may_send_again = progress.sends < most_targets;
     match failure {
-        ExchangeFailure::NotSent(_) if progress.unsent < MOST_UNSENT_TRIES => NextStep::TryUnsent,
-        ExchangeFailure::NotRun if may_send_again => NextStep::SendAgainOr(refusal),
-        ExchangeFailure::MayHaveRun(_) if may_send_again && kind.may_run_again() => {
+        SendFailure::NotSent(_) if progress.unsent < MOST_UNSENT_TRIES => NextStep::TryUnsent,
+        SendFailure::NotRun if may_send_again => NextStep::SendAgainOr(refusal),
+        SendFailure::MayHaveRun(_) if may_send_again && kind.may_run_again() => {
             NextStep::SendAgainOr(refusal)
         }
         _ => NextStep::Refuse(refusal),
@@ -55,11 +76,11 @@
 }
 
 /// The refusal that is true after a failure.
-fn refusal_for(failure: ExchangeFailure, progress: CallProgress) -> Refusal {
+fn refusal_for(failure: SendFailure, progress: CallProgress) -> Refusal {
     match failure {
-        ExchangeFailure::MayHaveRun(CallEnd::Silent) => Refusal::TargetSilent,
+        SendFailure::MayHaveRun(CallEnd::Silent) => Refusal::TargetSilent,
         _ if progress.may_have_run => Refusal::TargetFailed,
-        ExchangeFailure::NotRun => Refusal::TargetFull,
+        SendFailure::NotRun => Refusal::TargetFull,
         _ => Refusal::NoTarget,
     }
 }
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -12,9 +12,10 @@
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     dialect::{CallHead, Dispatch, TokenCounts},
     placement::CallEnd,
+    retries::CallProgress,
 };
 
-use super::{call_log::CallLog, retry_rules::CallProgress};
+use super::call_log::CallLog;
 
 /// A call that was read and allowed, with everything needed to send it.
 pub(crate) struct Call {
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -13,6 +13,7 @@
     config::TargetEntry,
     dialect::{AnswerHead, Dialect},
     placement::CallEnd,
+    retries::SendFailure,
 };
 
 use super::{TargetConnection, TargetPool, target_pool::CheckoutError};
@@ -55,59 +56,38 @@
     }
 }
 
-/// Why a call has no usable answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ExchangeFailure {
-    /// It was certainly not sent.
-    NotSent(CallEnd),
-    /// The target says that it did not run it.
-    NotRun,
-    /// It may have run.
-    MayHaveRun(CallEnd),
-}
-
-impl ExchangeFailure {
-    /// What it tells about the target.
-    pub(crate) const fn call_end(self) -> CallEnd {
-        match self {
-            Self::NotSent(end) | Self::MayHaveRun(end) => end,
-            Self::NotRun => CallEnd::Shed,
-        }
-    }
-}
-
 /// Sends a call and waits for the head of its answer.
 pub(crate) async fn open_exchange(
     dialect: &impl Dialect,
     pool: &Rc<TargetPool>,
     exchange: Exchange<'_>,
-) -> Result<OpenAnswer, ExchangeFailure> {
+) -> Result<OpenAnswer, SendFailure> {
     let checkout = pool.checkout(exchange.target, exchange.most_connections, exchange.now_ms);
     let mut connection = checkout.await.map_err(|error| {
         log::debug!(target: "pool", name = exchange.target.name.as_str(), error:% = error; "not connected");
-        ExchangeFailure::NotSent(match error {
+        SendFailure::NotSent(match error {
             CheckoutError::Exhausted => CallEnd::Shed,
             CheckoutError::Connect(_) => CallEnd::NotConnected,
         })
     })?;
     let sent = connection.sender.try_send_request(exchange.request);
     let Ok(answered) = timeout(exchange.head_timeout, sent).await else {
-        return Err(ExchangeFailure::MayHaveRun(CallEnd::Silent));
+        return Err(SendFailure::MayHaveRun(CallEnd::Silent));
     };
     let response = answered.map_err(|mut error| match error.take_message() {
         // The connection ended before any byte was written.
-        Some(_unsent) => ExchangeFailure::NotSent(CallEnd::Broken),
-        None => ExchangeFailure::MayHaveRun(CallEnd::Broken),
+        Some(_unsent) => SendFailure::NotSent(CallEnd::Broken),
+        None => SendFailure::MayHaveRun(CallEnd::Broken),
     })?;
     let (parts, body) = response.into_parts();
     let head = dialect.read_answer(parts.status, &parts.headers);
     if head.id.as_ref().is_some_and(|id| id != exchange.id) {
         // A late answer to a call before; dropping the connection keeps the rest of it away.
         log::warn!(target: "call", id = exchange.id.as_str(), name = exchange.target.name.as_str(); "the target answered another call");
-        return Err(ExchangeFailure::MayHaveRun(CallEnd::Broken));
+        return Err(SendFailure::MayHaveRun(CallEnd::Broken));
     }
     if head.not_run {
-        return Err(ExchangeFailure::NotRun);
+        return Err(SendFailure::NotRun);
     }
     let keep_alive = keep_alive_timeout(&parts.headers);
     Ok(OpenAnswer {
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -3,13 +3,11 @@
 pub(crate) mod answer;
 mod call;
 mod call_log;
-mod event_splitter;
 mod exchange;
 pub(crate) mod http_listener;
 mod read_call;
 mod relay;
 mod reserve;
-mod retry_rules;
 mod serve_call;
 mod target_pool;
 
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -12,13 +12,13 @@
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route},
     dialect::CallHead,
+    retries::CallProgress,
 };
 
 use super::{
     call::{Call, CallAccount},
     call_log::CallLog,
     exchange::remove_connection_headers,
-    retry_rules::CallProgress,
 };
 
 /// Time that a caller waits if it does not say.
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -6,16 +6,11 @@
 use futures_util::Stream;
 use tokio::time::timeout;
 
-use crate::{
-    Gateway, Platform,
-    config::RouteKind,
-    placement::CallEnd,
-};
+use crate::{EventSplitter, Gateway, Platform, config::RouteKind, placement::CallEnd};
 
 use super::{
     answer::IncompleteAnswer,
     call::{Call, CallAccount},
-    event_splitter::EventSplitter,
     serve_call::{Answered, EventsAnswer, next_bytes, send_until_answered},
 };
 
@@ -41,12 +36,11 @@
         while let Some(mut source) = events.take() {
             let mut piece = Some(std::mem::take(&mut source.first));
             let end = loop {
-                if let Some(bytes) = piece.take() {
-                    if let Some(whole) = splitter.push(&bytes) {
+                if let Some(bytes) = piece.take()
+                    && let Some(whole) = splitter.push(&bytes) {
                         account.note_output(splitter.events() * tokens_per_event);
                         yield whole;
                     }
-                }
                 let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
                 match timeout(left, next_bytes(&mut source.answer.body)).await {
                     Err(_elapsed) => break StreamEnd::DeadlineReached,
--- a/crates/toucan_gateway/src/serving/reserve.rs
+++ b/crates/toucan_gateway/src/serving/reserve.rs
@@ -5,12 +5,7 @@
 use tokio::time::timeout;
 use toucan_types::{OrganisationName, Tokens};
 
-use crate::{
-    Gateway, Platform, Refusal,
-    budget::Shortage,
-    config::Organisation,
-    core::Core,
-};
+use crate::{Gateway, Platform, Refusal, budget::Shortage, config::Organisation, core::Core};
 
 /// Longest wait for tokens from the store or from other VMs.
 const MOST_WAIT_MS: u64 = 400;
@@ -49,7 +44,14 @@
         if gateway.is_spent(name, tokens, began_ms) {
             return Err((Refusal::BudgetSpent, "the store's records leave too little"));
         }
-        let refused = refusal(&gateway.core.borrow(), name, tokens, began_ms, deadline_ms, now_ms);
+        let refused = refusal(
+            &gateway.core.borrow(),
+            name,
+            tokens,
+            began_ms,
+            deadline_ms,
+            now_ms,
+        );
         if let Some((refusal, reason)) = refused {
             log_shortage(gateway, organisation, tokens, now_ms);
             if refusal == Refusal::BudgetInUse {
@@ -87,7 +89,10 @@
         view.read_at_ms >= began_ms && view.prepaid.saturating_sub(view.granted).is_zero()
     });
     if has_no_rest && waited_ms >= MOST_WAIT_WITHOUT_REST_MS {
-        return Some((Refusal::BudgetInUse, "the store and other VMs have none left"));
+        return Some((
+            Refusal::BudgetInUse,
+            "the store and other VMs have none left",
+        ));
     }
     if waited_ms >= MOST_WAIT_MS || now_ms >= deadline_ms {
         return Some((Refusal::BudgetNotReachable, "no tokens came in time"));
@@ -130,11 +135,7 @@
 }
 
 impl<'a, P: Platform> WaitingCall<'a, P> {
-    fn begin(
-        gateway: &'a Rc<Gateway<P>>,
-        organisation: &'a Organisation,
-        tokens: Tokens,
-    ) -> Self {
+    fn begin(gateway: &'a Rc<Gateway<P>>, organisation: &'a Organisation, tokens: Tokens) -> Self {
         let mut core = gateway.core.borrow_mut();
         let sum = core.waiting.entry(organisation.name.clone()).or_default();
         *sum = sum.saturating_add(tokens);
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -14,18 +14,16 @@
     Gateway, Platform, Refusal,
     config::{RouteKind, TargetEntry},
     placement::{CallEnd, ChoiceRequest, ChoiceSettings, choose_target},
+    retries::{NextStep, SendFailure, next_step},
 };
 
 use super::{
     answer::{AnswerBody, IncompleteAnswer, refusal_answer},
     call::{Call, CallAccount, TargetVisit},
-    exchange::{
-        Exchange, ExchangeFailure, OpenAnswer, open_exchange, remove_connection_headers,
-    },
+    exchange::{Exchange, OpenAnswer, open_exchange, remove_connection_headers},
     read_call::{hash_of, new_log, read_call},
     relay::relay_events,
     reserve::reserve_tokens,
-    retry_rules::{NextStep, next_step},
 };
 
 /// Part of a target's connections that all VMs use together; the rest is for VMs that start.
@@ -107,11 +105,11 @@
         .core
         .borrow_mut()
         .note_call(&call.service, &gateway.settings.bounds, now_ms);
-    if let (Some(organisation), Some(counts)) = (&call.organisation, call.head.tokens) {
-        if organisation.prepaid.is_some() {
-            reserve_tokens(gateway, organisation, counts.most(), call.deadline_ms).await?;
-            account.hold(organisation.name.clone(), counts);
-        }
+    if let (Some(organisation), Some(counts)) = (&call.organisation, call.head.tokens)
+        && organisation.prepaid.is_some()
+    {
+        reserve_tokens(gateway, organisation, counts.most(), call.deadline_ms).await?;
+        account.hold(organisation.name.clone(), counts);
     }
     let answered = send_until_answered(gateway, &mut call, account, None).await?;
     Ok((call, answered))
@@ -152,7 +150,13 @@
         let now_ms = gateway.now_ms();
         let left_ms = call.left_ms(now_ms);
         let route = &call.route;
-        let step = next_step(failure, call.progress, route.kind, route.most_targets, left_ms);
+        let step = next_step(
+            failure,
+            call.progress,
+            route.kind,
+            route.most_targets,
+            left_ms,
+        );
         log_failure(&call.id, &target, failure, step, left_ms);
         match step {
             NextStep::TryUnsent => {}
@@ -174,19 +178,19 @@
         .take_retry(service, bounds, now_ms)
 }
 
-fn note_failure(call: &mut Call, target: &TargetEntry, failure: ExchangeFailure) {
+fn note_failure(call: &mut Call, target: &TargetEntry, failure: SendFailure) {
     match failure {
         // A connection that had ended says nothing of the next one.
-        ExchangeFailure::NotSent(CallEnd::Broken) => call.progress.unsent += 1,
-        ExchangeFailure::NotSent(_) => {
+        SendFailure::NotSent(CallEnd::Broken) => call.progress.unsent += 1,
+        SendFailure::NotSent(_) => {
             call.progress.unsent += 1;
             call.tried.push(target.name.clone());
         }
-        ExchangeFailure::NotRun => {
+        SendFailure::NotRun => {
             call.progress.sends += 1;
             call.tried.push(target.name.clone());
         }
-        ExchangeFailure::MayHaveRun(_) => {
+        SendFailure::MayHaveRun(_) => {
             call.progress.sends += 1;
             call.progress.may_have_run = true;
             call.tried.push(target.name.clone());
@@ -197,7 +201,7 @@
 fn log_failure(
     id: &RequestId,
     target: &TargetEntry,
-    failure: ExchangeFailure,
+    failure: SendFailure,
     step: NextStep,
     left_ms: u64,
 ) {
@@ -250,7 +254,7 @@
     account: &mut CallAccount<P>,
     target: &Rc<TargetEntry>,
     last_event_id: Option<&str>,
-) -> Result<Answered<P>, ExchangeFailure> {
+) -> Result<Answered<P>, SendFailure> {
     let now_ms = gateway.now_ms();
     let mut visit = TargetVisit::begin(Rc::clone(gateway), &target.name, call);
     account.log.sent_to.push(target.name.to_string());
@@ -288,7 +292,7 @@
         }
         Err(failure) => {
             visit.note_end(failure.call_end());
-            if matches!(failure, ExchangeFailure::MayHaveRun(_)) {
+            if matches!(failure, SendFailure::MayHaveRun(_)) {
                 account.note_may_have_run();
             }
             Err(failure)
@@ -320,9 +324,9 @@
     call: &Call,
     mut answer: OpenAnswer,
     visit: &mut TargetVisit<P>,
-) -> Result<Read, ExchangeFailure> {
-    let broken = ExchangeFailure::MayHaveRun(CallEnd::Broken);
-    let silent = ExchangeFailure::MayHaveRun(CallEnd::Silent);
+) -> Result<Read, SendFailure> {
+    let broken = SendFailure::MayHaveRun(CallEnd::Broken);
+    let silent = SendFailure::MayHaveRun(CallEnd::Silent);
     if answer.status.is_success() && (!answer.head.is_stamped || answer.head.is_encoded) {
         log::warn!(target: "call", id = call.id.as_str(), name = visit.target().as_str(); "the answer is not the target's own");
         return Err(broken);
@@ -351,7 +355,7 @@
         && call.progress.sends + 1 < call.route.most_targets;
     answer.finish(&gateway.pool, gateway.now_ms());
     if is_failure && may_try_another && gateway.allows_retry(&call.service) {
-        return Err(ExchangeFailure::MayHaveRun(CallEnd::Errored));
+        return Err(SendFailure::MayHaveRun(CallEnd::Errored));
     }
     Ok(Read::Whole(whole))
 }
--- a/crates/toucan_gateway/src/serving/target_pool.rs
+++ b/crates/toucan_gateway/src/serving/target_pool.rs
@@ -28,7 +28,10 @@
 
 /// a connection cannot be had: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
-#[allow(clippy::doc_markdown, reason = "displaydoc takes the texts of errors from here")]
+#[allow(
+    clippy::doc_markdown,
+    reason = "displaydoc takes the texts of errors from here"
+)]
 pub(crate) enum CheckoutError {
     /// the target's connections are all in use
     Exhausted,
@@ -149,8 +152,7 @@
             for (name, pooled) in targets.iter_mut() {
                 let keep = is_known(name);
                 let (stay, go): (Vec<_>, Vec<_>) = pooled.idle.drain(..).partition(|idle| {
-                    keep && now_ms < idle.usable_until_ms
-                        && !idle.connection.sender.is_closed()
+                    keep && now_ms < idle.usable_until_ms && !idle.connection.sender.is_closed()
                 });
                 pooled.idle = stay;
                 closed.extend(go);
@@ -174,7 +176,12 @@
     /// The idle connection used last; connections of a former start or address are dropped.
     fn take_idle(&self, target: &TargetEntry, now_ms: u64) -> Option<TargetConnection> {
         loop {
-            let idle = self.by_target.borrow_mut().get_mut(&target.name)?.idle.pop()?;
+            let idle = self
+                .by_target
+                .borrow_mut()
+                .get_mut(&target.name)?
+                .idle
+                .pop()?;
             let is_same = idle.connection.address == target.address
                 && idle.connection.started_at_unix_ms == target.started_at_unix_ms;
             if is_same && now_ms < idle.usable_until_ms && !idle.connection.sender.is_closed() {
--- /dev/null
+++ b/crates/toucan_gateway/tests/draw_sizing.rs
@@ -0,0 +1,83 @@
+//! How much is drawn and returned.
+
+use test_case::test_case;
+use toucan_gateway::budget::{DrawDecision, DrawSettings, DrawView, decide_draw};
+use toucan_types::Tokens;
+
+fn view() -> DrawView {
+    DrawView {
+        prepaid: Tokens(1_000_000),
+        granted_to_all: Tokens(200_000),
+        available: Tokens(0),
+        waiting: Tokens(0),
+        rate_per_s: 1_000.0,
+        others_rate_per_s: 7_000.0,
+        processes: 8,
+    }
+}
+
+fn drawn(view: &DrawView) -> u64 {
+    match decide_draw(view, &DrawSettings::default()) {
+        DrawDecision::Draw(tokens) => tokens.0,
+        DrawDecision::Keep => 0,
+        DrawDecision::Return(tokens) => panic!("{tokens} returned"),
+    }
+}
+
+#[test]
+fn a_process_with_an_even_share_of_calls_holds_enough_for_an_outage() {
+    let drawn = drawn(&view());
+    assert!((9_000..=20_000).contains(&drawn), "{drawn}");
+}
+
+#[test]
+fn waiting_calls_get_their_tokens_though_little_is_left() {
+    let view = DrawView {
+        granted_to_all: Tokens(995_000),
+        waiting: Tokens(5_000),
+        ..view()
+    };
+    assert_eq!(drawn(&view), 5_000);
+}
+
+#[test]
+fn a_draw_never_exceeds_what_is_left() {
+    let view = DrawView {
+        granted_to_all: Tokens(999_000),
+        waiting: Tokens(50_000),
+        ..view()
+    };
+    assert_eq!(drawn(&view), 1_000);
+}
+
+#[test]
+fn holdings_shrink_as_the_budget_runs_out() {
+    let plenty = drawn(&view());
+    let scarce = drawn(&DrawView {
+        granted_to_all: Tokens(980_000),
+        ..view()
+    });
+    assert!(scarce * 4 < plenty, "{scarce} against {plenty}");
+}
+
+#[test_case(300_000, 0 => matches DrawDecision::Return(_); "idle tokens go back")]
+#[test_case(300_000, 1 => matches DrawDecision::Keep; "not while a call waits")]
+fn surplus(available: u64, waiting: u64) -> DrawDecision {
+    let view = DrawView {
+        available: Tokens(available),
+        waiting: Tokens(waiting),
+        ..view()
+    };
+    decide_draw(&view, &DrawSettings::default())
+}
+
+#[test]
+fn everything_idle_goes_back_when_a_lower_total_is_in_force() {
+    let view = DrawView {
+        prepaid: Tokens(100_000),
+        available: Tokens(700),
+        ..view()
+    };
+    let decision = decide_draw(&view, &DrawSettings::default());
+    assert_eq!(decision, DrawDecision::Return(Tokens(700)));
+}
--- /dev/null
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -0,0 +1,168 @@
+//! Which target gets a call, under the load patterns that the choice answers.
+
+use std::net::SocketAddrV4;
+
+use toucan_gateway::{
+    config::{EngineTraits, TargetEntry},
+    dialect::PromptPart,
+    placement::{
+        CallEnd, ChoiceRequest, ChoiceSettings, FaultHistory, TargetChange, TargetState,
+        TargetTable, choose_target,
+    },
+};
+use toucan_types::{DataCentreName, ServiceName, TargetName};
+
+const ENGINE: EngineTraits = EngineTraits {
+    slots: 64,
+    memory_tokens: 400_000,
+    tokens_per_event: 5,
+};
+
+fn entry(name: &str, started_at_unix_ms: u64) -> TargetEntry {
+    TargetEntry {
+        name: TargetName::from(name),
+        service: ServiceName::from("s"),
+        address: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
+        data_centre: DataCentreName::from("here"),
+        slots: 64,
+        draining: false,
+        warm_up_ms: 0,
+        started_at_unix_ms,
+    }
+}
+
+fn table(count: usize) -> TargetTable {
+    let mut table = TargetTable::default();
+    for at in 0..count {
+        table.register(entry(&format!("t{at}"), 1));
+    }
+    table
+}
+
+fn prompt(shared: u64) -> [PromptPart; 2] {
+    [
+        PromptPart {
+            id: shared,
+            tokens: 13_300,
+        },
+        PromptPart {
+            id: shared ^ 0xffff_0000,
+            tokens: 3_700,
+        },
+    ]
+}
+
+fn choose<'a>(
+    table: &'a TargetTable,
+    parts: &[PromptPart],
+    tried: &[TargetName],
+    draw: u64,
+    now_ms: u64,
+) -> Option<&'a TargetState> {
+    let data_centre = DataCentreName::from("here");
+    let request = ChoiceRequest {
+        engine: Some(ENGINE),
+        parts,
+        data_centre: &data_centre,
+        tried,
+        most_in_flight: 100,
+        draw,
+    };
+    choose_target(&request, table.iter(), &ChoiceSettings::default(), now_ms)
+}
+
+#[test]
+fn calls_with_the_same_shared_part_go_to_the_same_target() {
+    let table = table(12);
+    let parts = prompt(42);
+    let first = choose(&table, &parts, &[], 1, 0).map(|t| t.entry.name.clone());
+    for draw in 2..50 {
+        let next = choose(&table, &parts, &[], draw, 0).map(|t| t.entry.name.clone());
+        assert_eq!(next, first);
+    }
+}
+
+#[test]
+fn different_prompts_are_spread() {
+    let table = table(12);
+    let chosen: std::collections::BTreeSet<_> = (0..100)
+        .filter_map(|id| choose(&table, &prompt(id), &[], id, 0))
+        .map(|target| target.entry.name.clone())
+        .collect();
+    assert!(chosen.len() >= 10, "only {} targets", chosen.len());
+}
+
+#[test]
+fn a_hot_prompt_spills_over_when_its_target_has_much_to_read() {
+    let mut table = table(12);
+    let parts = prompt(42);
+    let home = choose(&table, &parts, &[], 1, 0)
+        .map(|target| target.entry.name.clone())
+        .expect("there are targets");
+    let state = table.get_mut(&home).expect("it was chosen");
+    state.parts.note(&parts, 0);
+    state.note_peer(1, 40, 400_000, 0);
+    let next = choose(&table, &parts, &[], 1, 0).expect("there are targets");
+    assert_ne!(next.entry.name, home);
+    let later = choose(&table, &parts, &[], 1, 60_000).expect("there are targets");
+    assert_eq!(later.entry.name, home, "old words of peers no longer count");
+}
+
+#[test]
+fn a_leaving_target_and_a_tried_one_get_nothing() {
+    let mut table = table(2);
+    let mut leaving = entry("t0", 1);
+    leaving.draining = true;
+    assert_eq!(table.register(leaving), TargetChange::Draining);
+    let chosen = choose(&table, &prompt(1), &[], 1, 0).expect("t1 is left");
+    assert_eq!(chosen.entry.name.as_str(), "t1");
+    assert!(choose(&table, &prompt(1), &[TargetName::from("t1")], 1, 0).is_none());
+}
+
+#[test]
+fn a_paused_target_is_used_only_if_all_are() {
+    let mut table = table(2);
+    for name in ["t0", "t1"] {
+        let name = TargetName::from(name);
+        let state = table.get_mut(&name).expect("it is registered");
+        state.faults.note(CallEnd::NotConnected, 0);
+        let chosen = choose(&table, &prompt(1), &[], 1, 10);
+        assert!(chosen.is_some());
+        if name.as_str() == "t0" {
+            assert_eq!(chosen.map(|t| t.entry.name.as_str()), Some("t1"));
+        }
+    }
+}
+
+#[test]
+fn a_new_start_under_the_same_name_knows_nothing() {
+    let mut table = table(1);
+    let name = TargetName::from("t0");
+    let state = table.get_mut(&name).expect("it is registered");
+    state.parts.note(&prompt(1), 0);
+    assert_eq!(table.register(entry("t0", 2)), TargetChange::Started);
+    let state = table.get(&name).expect("it is registered");
+    assert_eq!(state.parts.cached_tokens(&prompt(1), 0), 0);
+    assert_eq!(
+        table.register(entry("t0", 1)),
+        TargetChange::Other,
+        "a late word"
+    );
+    let known = table.get(&name).map(|state| state.entry.started_at_unix_ms);
+    assert_eq!(known, Some(2));
+}
+
+#[test]
+fn pauses_grow_with_failures_in_a_row_and_end_with_an_answer() {
+    let mut faults = FaultHistory::default();
+    assert!(
+        !faults.note(CallEnd::Broken, 0),
+        "one broken call is no pattern"
+    );
+    assert!(faults.note(CallEnd::Broken, 0));
+    let first = faults.paused_until_ms();
+    assert!(faults.note(CallEnd::Silent, 0));
+    assert!(faults.paused_until_ms() > first);
+    faults.note(CallEnd::Answered, 10);
+    assert!(!faults.is_paused(10));
+}
