--- a/crates/toucan_gateway/src/core.rs
+++ b/crates/toucan_gateway/src/core.rs
@@ -9,6 +9,9 @@
     budget::Wallet, config::FleetConfig, peers::Members, placement::TargetTable, settings::Bounds,
 };
 
+/// Time for which calls are still accepted after the process was told to stop. The balancer notices
+/// a VM that is not ready within two of its questions, which it asks once a second.
+pub(crate) const ACCEPT_MS: u64 = 2_500;
 /// Part of the fleet's allowance of retries that its VMs use together.
 ///
 /// The rest covers VMs that start while others still count with fewer.
@@ -99,6 +102,12 @@
             && self.stopping_since_ms.is_none()
     }
 
+    /// Whether a planned stop has come so far that calls are refused.
+    pub(crate) fn refuses_new_calls(&self, now_ms: u64) -> bool {
+        self.stopping_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + ACCEPT_MS)
+    }
+
     /// The wallet of an organisation.
     pub(crate) fn wallet(&mut self, organisation: &OrganisationName) -> &mut Wallet {
         if !self.wallets.contains_key(organisation) {
--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -117,7 +117,7 @@
         core.grants_known = true;
         log::info!(target: "budget", partitions = count; "grants read");
     }
-    if core.stopping_since_ms.is_some() {
+    if core.refuses_new_calls(gateway.now_ms()) {
         gateway.returned.notify_one();
     }
     Ok(())
@@ -319,7 +319,7 @@
             others_rate_per_s: self
                 .book
                 .rate_per_s(name, |vm| core.members.is_live(vm, now_ms)),
-            is_stopping: core.stopping_since_ms.is_some(),
+            is_stopping: core.refuses_new_calls(now_ms),
         })
     }
 
--- a/crates/toucan_gateway/src/duties/stop_duty.rs
+++ b/crates/toucan_gateway/src/duties/stop_duty.rs
@@ -4,13 +4,10 @@
 
 use tokio::time::{sleep, timeout};
 
-use crate::{Gateway, Platform, serving::http_listener::ListenerState};
+use crate::{Gateway, Platform, core::ACCEPT_MS, serving::http_listener::ListenerState};
 
 use super::{grant_duty::return_all, member_duty::deregister};
 
-/// Time for which calls are still accepted. The balancer notices a VM that is not ready within two
-/// of its questions, which it asks once a second.
-pub(crate) const ACCEPT_MS: u64 = 2_500;
 /// Part of the time before the process is killed in which calls may end.
 const DRAIN_PART: f64 = 0.9;
 /// Longest wait for the store at the end.
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -25,7 +25,7 @@
         grant_duty::keep_wallets,
         member_duty::follow_members,
         peer_duty::{receive_datagrams, tell_load},
-        stop_duty::{self, ACCEPT_MS},
+        stop_duty,
         target_duty::follow_targets,
     },
     inspection::inspect,
@@ -207,9 +207,7 @@
 
     /// Whether a planned stop has come so far that calls are refused.
     pub(crate) fn refuses_new_calls(&self) -> bool {
-        let core = self.core.borrow();
-        core.stopping_since_ms
-            .is_some_and(|since_ms| self.now_ms() >= since_ms + ACCEPT_MS)
+        self.core.borrow().refuses_new_calls(self.now_ms())
     }
 
     /// Whether the allowance of retries of a service is not used up.
--- a/crates/toucan_gateway/src/serving/answer.rs
+++ b/crates/toucan_gateway/src/serving/answer.rs
@@ -79,6 +79,9 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
     );
+    if refusal == Refusal::Stopping {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(wait) = refusal.retry_after() {
         let seconds = format!("{:.3}", wait.as_secs_f64());
         match HeaderValue::try_from(seconds) {
--- a/crates/toucan_gateway/src/serving/http_listener.rs
+++ b/crates/toucan_gateway/src/serving/http_listener.rs
@@ -68,7 +68,12 @@
                 .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
                 .serve_connection(TokioIo::new(stream), service);
             tokio::pin!(connection);
+            // A connection that comes late gets an answer to its one call, which then closes it.
+            let comes_late = *state.borrow() == ListenerState::Closing;
             let closing = async {
+                if comes_late {
+                    std::future::pending::<()>().await;
+                }
                 // An error means that the process ends, which closes connections as well.
                 let _gone = state
                     .wait_for(|state| *state == ListenerState::Closing)
