--- a/crates/toucan_gateway/tests/budget_histories.rs
+++ b/crates/toucan_gateway/tests/budget_histories.rs
@@ -12,16 +12,19 @@
 /// Small against what a history asks for, so that most histories use it up.
 const PREPAID: u64 = 4_000;
 
+/// Records as they are appended together.
+type Records = Vec<(GrantKey, Option<GrantRecord>)>;
+
 /// One partition of the log.
 #[derive(Default)]
 struct Partition {
-    records: Vec<(GrantKey, Option<GrantRecord>)>,
+    records: Records,
     /// Appends without an answer, carried out later if their condition still holds.
-    late: Vec<(usize, Vec<(GrantKey, Option<GrantRecord>)>)>,
+    late: Vec<(usize, Records)>,
 }
 
 impl Partition {
-    fn append(&mut self, at: usize, records: Vec<(GrantKey, Option<GrantRecord>)>) -> bool {
+    fn append(&mut self, at: usize, records: Records) -> bool {
         if self.records.len() != at {
             return false;
         }
@@ -240,7 +243,7 @@
             &settings,
             self.now_ms,
         );
-        let mut records: Vec<(GrantKey, Option<GrantRecord>)> = Vec::new();
+        let mut records: Records = Vec::new();
         records.extend(decided.map(|record| (writer.key(&self.organisation), Some(record))));
         records.extend(writer.absorb_former(book));
         if records.is_empty() {
