--- a/crates/toucan_gateway/src/budget/draw_sizing.rs
+++ b/crates/toucan_gateway/src/budget/draw_sizing.rs
@@ -25,8 +25,8 @@
 impl DrawSettings {
     /// The settings of a gateway.
     pub const DEFAULT: Self = Self {
-        // Longer than a usual outage of the store, which lasts 8 to 9 s.
-        bridge_s: 12.0,
+        // Longer than two usual outages of the store, of 8 to 9 s, that follow each other closely.
+        bridge_s: 16.0,
         // What is in hand when processes die is lost. A budget that runs out soon bears that less
         // than calls that are refused during an outage, whose tokens serve later calls.
         most_held_part: 0.25,
