--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -22,7 +22,7 @@
 use super::{store_health::StoreHealth, topic_follower::TopicFollower};
 
 /// Time between two looks at the wallets, if no call waits.
-const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+const LOOK_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Shortest time between two readings while calls wait for tokens.
 const READ_PAUSE: Duration = Duration::from_millis(40);
 /// Tries to append before the next look; each lost race means that another process appended.
