Charge a call from its sending on, and say spent only of what has run

Ruled out: a stale total (the store was read within 2 s). Change: a call counts as possibly run before it is sent; the record reports only what has certainly run, and 402 is decided from that.

--- a/crates/toucan_gateway/src/budget/grant_record.rs
+++ b/crates/toucan_gateway/src/budget/grant_record.rs
@@ -42,7 +42,7 @@
     pub drawn: Tokens,
     /// Tokens of those that it has returned in all.
     pub returned: Tokens,
-    /// Tokens that the owner had spent when it wrote the record.
+    /// Tokens that the owner had certainly spent when it wrote the record.
     pub spent: Tokens,
     /// Tokens a second that the owner's calls asked for when it wrote the record.
     pub rate_per_s: u64,
--- a/crates/toucan_gateway/src/budget/grant_writer.rs
+++ b/crates/toucan_gateway/src/budget/grant_writer.rs
@@ -108,7 +108,7 @@
         Some(GrantRecord {
             drawn,
             returned: wallet.returned(),
-            spent: wallet.spent(),
+            spent: wallet.certainly_spent(),
             rate_per_s: wallet.rate_per_s(now_ms) as u64,
             config_version,
             prepaid,
--- a/crates/toucan_gateway/src/budget/wallet.rs
+++ b/crates/toucan_gateway/src/budget/wallet.rs
@@ -15,6 +15,8 @@
     borrowed: Tokens,
     lent: Tokens,
     spent: Tokens,
+    /// Part of `spent` for calls that a target may not have run.
+    uncertain: Tokens,
     reserved: Tokens,
     rate: RateMeter,
     /// A lower total is in force, and what others hold of it is not known yet.
@@ -48,7 +50,13 @@
         self.returned
     }
 
-    /// Tokens spent by this process in all.
+    /// Tokens that this process has spent for certain, without those of calls that may not have run.
+    #[must_use]
+    pub const fn certainly_spent(&self) -> Tokens {
+        self.spent.saturating_sub(self.uncertain)
+    }
+
+    /// Tokens spent by this process in all, or so counted.
     #[must_use]
     pub const fn spent(&self) -> Tokens {
         self.spent
@@ -94,9 +102,15 @@
     }
 
     /// Ends a reservation of which `spent` tokens were used; at most `reserved` are counted.
-    pub fn settle(&mut self, reserved: Tokens, spent: Tokens) {
+    ///
+    /// Without certainty that a target ran the call, they count as spent all the same.
+    pub fn settle(&mut self, reserved: Tokens, spent: Tokens, is_certain: bool) {
+        let spent = spent.min(reserved);
         self.reserved = self.reserved.saturating_sub(reserved);
-        self.spent = self.spent.saturating_add(spent.min(reserved));
+        self.spent = self.spent.saturating_add(spent);
+        if !is_certain {
+            self.uncertain = self.uncertain.saturating_add(spent);
+        }
     }
 
     /// Sets the tokens drawn in all to what the store has confirmed.
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -103,6 +103,7 @@
     counts: TokenCounts,
     reserved: Tokens,
     may_have_run: bool,
+    has_run: bool,
     output_tokens: u64,
     is_ended: bool,
     /// What the log tells of the call.
@@ -119,6 +120,7 @@
             counts: TokenCounts::default(),
             reserved: Tokens::ZERO,
             may_have_run: false,
+            has_run: false,
             output_tokens: 0,
             is_ended: false,
             log,
@@ -133,11 +135,21 @@
         self.log.reserved_tokens = self.reserved.0;
     }
 
-    /// A target may have begun to run the call, so that its prompt counts.
+    /// The call is being sent, so that its prompt counts from now on, also if the caller leaves.
     pub(crate) fn note_may_have_run(&mut self) {
         self.may_have_run = true;
     }
 
+    /// No target has run the call.
+    pub(crate) fn note_not_run(&mut self) {
+        self.may_have_run = false;
+    }
+
+    /// A target has run the call.
+    pub(crate) fn note_run(&mut self) {
+        self.has_run = true;
+    }
+
     /// Sets the count of tokens that were delivered to the caller.
     pub(crate) fn note_output(&mut self, tokens: u64) {
         self.output_tokens = tokens;
@@ -176,7 +188,8 @@
         let mut core = self.gateway.core.borrow_mut();
         core.calls_in_progress = core.calls_in_progress.saturating_sub(1);
         if let Some(organisation) = &self.organisation {
-            core.wallet(organisation).settle(self.reserved, spent);
+            core.wallet(organisation)
+                .settle(self.reserved, spent, self.has_run);
         }
         drop(core);
         self.gateway.tokens_changed.notify_waiters();
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -266,13 +266,16 @@
         head_timeout: head_timeout(call, now_ms),
         now_ms,
     };
+    account.note_may_have_run();
     let answered = match open_exchange(&gateway.platform, &gateway.pool, exchange).await {
         Ok(answer) => read_answer(gateway, call, answer, &mut visit).await,
         Err(failure) => Err(failure),
     };
     match answered {
         Ok(Read::Whole(whole)) => {
-            account.note_may_have_run();
+            if whole.status.is_success() {
+                account.note_run();
+            }
             visit.note_end(if whole.status.is_server_error() {
                 CallEnd::Errored
             } else {
@@ -281,7 +284,7 @@
             Ok(Answered::Whole(Box::new(whole)))
         }
         Ok(Read::Events(answer, first)) => {
-            account.note_may_have_run();
+            account.note_run();
             visit.note_first_event();
             let events = EventsAnswer {
                 answer,
@@ -292,8 +295,10 @@
         }
         Err(failure) => {
             visit.note_end(failure.call_end());
-            if matches!(failure, SendFailure::MayHaveRun(_)) {
-                account.note_may_have_run();
+            let may_have_run =
+                call.progress.may_have_run || matches!(failure, SendFailure::MayHaveRun(_));
+            if !may_have_run {
+                account.note_not_run();
             }
             Err(failure)
         }
--- a/crates/toucan_gateway/tests/budget_histories.rs
+++ b/crates/toucan_gateway/tests/budget_histories.rs
@@ -189,7 +189,9 @@
                 let process = &mut self.processes[process];
                 if let Some(reserved) = process.reserved.pop() {
                     let used = reserved.0 * used_permille / 1_000;
-                    process.wallet.settle(reserved, Tokens(used));
+                    process
+                        .wallet
+                        .settle(reserved, Tokens(used), used_permille % 3 != 0);
                     self.spent += used;
                 }
             }
--- a/crates/toucan_gateway/tests/budgets_lowered.rs
+++ b/crates/toucan_gateway/tests/budgets_lowered.rs
@@ -44,7 +44,7 @@
         "idle tokens go back"
     );
 
-    wallet.settle(Tokens(400), Tokens(100));
+    wallet.settle(Tokens(400), Tokens(100), true);
     write(&mut book, &mut wallet, &view(2, 300));
     write(&mut book, &mut wallet, &view(2, 300));
     assert_eq!(book.granted(&organisation), Tokens(300));
