--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -57,7 +57,7 @@
 
 /// Keeps the wallets filled for good.
 pub(crate) async fn keep_wallets<P: Platform>(gateway: Rc<Gateway<P>>) {
-    let count = GRANT_PARTITIONS.min(gateway.settings.bounds.most_partitions.max(1));
+    let count = GRANT_PARTITIONS.min(gateway.bounds().most_partitions.max(1));
     let holder = gateway.holder();
     let mut partitions: Vec<GrantPartition> = (0..count)
         .map(|number| GrantPartition::new(number, holder.clone()))
--- a/crates/toucan_gateway/src/duties/stop_duty.rs
+++ b/crates/toucan_gateway/src/duties/stop_duty.rs
@@ -19,11 +19,11 @@
 pub(crate) async fn stop<P: Platform>(gateway: &Rc<Gateway<P>>) -> u32 {
     let began_ms = gateway.now_ms();
     gateway.core.borrow_mut().stopping_since_ms = Some(began_ms);
-    let end_ms = began_ms + (gateway.settings.bounds.stop_ms as f64 * DRAIN_PART) as u64;
+    let end_ms = began_ms + (gateway.bounds().stop_ms as f64 * DRAIN_PART) as u64;
     log::info!(
         target: "process",
         calls = gateway.core.borrow().calls_in_progress,
-        stop_ms = gateway.settings.bounds.stop_ms;
+        stop_ms = gateway.bounds().stop_ms;
         "stop begins"
     );
     gateway.draw_soon.notify_one();
--- a/crates/toucan_gateway/src/event_log.rs
+++ b/crates/toucan_gateway/src/event_log.rs
@@ -7,7 +7,7 @@
         mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use displaydoc::Display;
@@ -25,8 +25,14 @@
 const MOST_AT_ONCE: usize = 256;
 /// Pause after lines were written, in which more of them gather for one write.
 const GATHER: Duration = Duration::from_millis(100);
+/// Time between two looks at what is still to be written.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(10);
 
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+/// Lines that were handed to the writer.
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+/// Lines of those that were written.
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
 
 /// logging cannot be set up: {0}
 #[derive(Debug, Display)]
@@ -63,6 +69,17 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Waits until all lines are written, at most for `patience`; to be called before the process ends.
+pub fn flush_event_log(patience: Duration) {
+    let end = Instant::now() + patience;
+    while WRITTEN.load(Ordering::Acquire) < QUEUED.load(Ordering::Acquire) {
+        if Instant::now() >= end {
+            return;
+        }
+        thread::sleep(FLUSH_INTERVAL);
+    }
+}
+
 /// Encodes lines and hands them to the writer.
 #[derive(Debug)]
 struct RingAppender {
@@ -74,9 +91,14 @@
     fn append(&self, record: &log::Record<'_>) -> anyhow::Result<()> {
         let mut line = SimpleWriter(Vec::with_capacity(256));
         self.encoder.encode(&mut line, record)?;
-        if let Err(TrySendError::Full(_)) = self.sender.try_send(line.0) {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
-            metrics::counter!("toucan_dropped_log_lines_total").increment(1);
+        match self.sender.try_send(line.0) {
+            Ok(()) => {
+                QUEUED.fetch_add(1, Ordering::Release);
+            }
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                DROPPED.fetch_add(1, Ordering::Relaxed);
+                metrics::counter!("toucan_dropped_log_lines_total").increment(1);
+            }
         }
         Ok(())
     }
@@ -89,13 +111,16 @@
     while let Ok(first) = receiver.recv() {
         batch.clear();
         batch.extend_from_slice(&first);
+        let mut lines = 1;
         for line in receiver.try_iter().take(MOST_AT_ONCE) {
             batch.extend_from_slice(&line);
+            lines += 1;
         }
         if io::stdout().write_all(&batch).is_err() {
             // Nobody reads the log; the counter tells so, and the calls go on.
             metrics::counter!("toucan_unwritten_log_batches_total").increment(1);
         }
+        WRITTEN.fetch_add(lines, Ordering::Release);
         thread::sleep(GATHER);
     }
 }
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -1,6 +1,12 @@
 //! One gateway process.
 
-use std::{cell::RefCell, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use displaydoc::Display;
 use http::{Request, Response, StatusCode};
@@ -36,7 +42,7 @@
         http_listener::{ListenerState, serve_listener},
         serve_call,
     },
-    settings::GatewaySettings,
+    settings::{Bounds, GatewaySettings},
 };
 
 /// Connections that wait to be accepted.
@@ -71,6 +77,7 @@
     /// Told when idle tokens were returned during a stop.
     pub(crate) returned: Notify,
     pub(crate) listener_state: watch::Sender<ListenerState>,
+    bounds: Cell<Bounds>,
     start: u64,
     key: [u8; 32],
     peers_socket: RefCell<Option<Rc<UdpSocket>>>,
@@ -85,7 +92,6 @@
     pub async fn launch(platform: P, settings: GatewaySettings) -> Result<Rc<Self>, StartError> {
         let gateway = Rc::new(Self {
             platform,
-            settings,
             core: RefCell::default(),
             pool: Rc::default(),
             lending: RefCell::default(),
@@ -93,6 +99,8 @@
             draw_soon: Notify::new(),
             returned: Notify::new(),
             listener_state: watch::channel(ListenerState::Open).0,
+            bounds: Cell::new(settings.bounds),
+            settings,
             start: rand::rng().random(),
             key: rand::rng().random(),
             peers_socket: RefCell::default(),
@@ -163,6 +171,16 @@
         Ok(())
     }
 
+    /// Puts other bounds in force.
+    ///
+    /// The other settings are addresses and names, which hold until the process ends.
+    pub fn apply_bounds(&self, bounds: Bounds) {
+        let before = self.bounds.replace(bounds);
+        if before != bounds {
+            log::info!(target: "process", before:? = before, bounds:? = bounds; "bounds changed");
+        }
+    }
+
     /// Stops as planned and returns how many calls were cut off.
     pub async fn stop(self: &Rc<Self>) -> u32 {
         stop_duty::stop(self).await
@@ -183,6 +201,11 @@
         boot_time_ms()
     }
 
+    /// The bounds in force.
+    pub(crate) const fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
     /// Random number of this start of the process.
     pub(crate) const fn start(&self) -> u64 {
         self.start
--- a/crates/toucan_gateway/src/keyed_log.rs
+++ b/crates/toucan_gateway/src/keyed_log.rs
@@ -87,6 +87,8 @@
     Moved(Offset),
     /// the store refused the call with status {0}, nothing was appended
     Refused(u16),
+    /// the call was not sent: {0}
+    NotSent(String),
     /// the store did not answer, the records may be appended later: {0}
     Unknown(String),
     /// the record cannot be appended: {0}
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -112,7 +112,7 @@
     }
     let last_event_id = splitter.last_id().map(ToOwned::to_owned);
     let now_ms = gateway.now_ms();
-    let bounds = &gateway.settings.bounds;
+    let bounds = &gateway.bounds();
     gateway
         .core
         .borrow_mut()
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -104,7 +104,7 @@
     gateway
         .core
         .borrow_mut()
-        .note_call(&call.service, &gateway.settings.bounds, now_ms);
+        .note_call(&call.service, &gateway.bounds(), now_ms);
     if let (Some(organisation), Some(counts)) = (&call.organisation, call.head.tokens)
         && organisation.prepaid.is_some()
     {
@@ -171,7 +171,7 @@
 }
 
 fn take_retry<P: Platform>(gateway: &Rc<Gateway<P>>, service: &ServiceName, now_ms: u64) -> bool {
-    let bounds = &gateway.settings.bounds;
+    let bounds = &gateway.bounds();
     gateway
         .core
         .borrow_mut()
