Avoid a data centre that cannot be reached

Ruled out: dead targets (other gateways reached them). Change: two different targets of a data centre that cannot be connected to make all of it avoided for a second; a connection may take 250 ms.

--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -2,11 +2,11 @@
 
 use std::hash::{BuildHasher, Hasher};
 
-use toucan_types::{DataCentreName, TargetName};
+use toucan_types::{DataCentreName, ServiceName, TargetName};
 
 use crate::{config::EngineTraits, dialect::PromptPart};
 
-use super::TargetState;
+use super::{TargetState, TargetTable};
 
 /// Settings of [`choose_target`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -60,27 +60,31 @@
     pub draw: u64,
 }
 
-/// The best of some targets for a call; [`None`] if none may get it.
+/// The best target of a service for a call; [`None`] if none may get it.
 ///
 /// Calls with the same shared parts go to the same target as long as the time that its cache saves
 /// exceeds what its load costs. All VMs prefer the same target for a prompt, so that they need not
 /// agree; a hot prompt spills over to the next ones as its first target fills up.
 pub fn choose_target<'a>(
     request: &ChoiceRequest<'_>,
-    targets: impl Iterator<Item = &'a TargetState>,
+    service: &'a ServiceName,
+    table: &'a TargetTable,
     settings: &ChoiceSettings,
     now_ms: u64,
 ) -> Option<&'a TargetState> {
-    let candidates: Vec<&TargetState> = targets
+    let candidates: Vec<&TargetState> = table
+        .of_service(service)
         .filter(|target| !target.entry.draining)
         .filter(|target| !request.tried.contains(&target.entry.name))
         .filter(|target| target.in_flight < request.most_in_flight)
         .collect();
-    let is_any_sound = candidates.iter().any(|t| !t.faults.is_paused(now_ms));
+    let is_any_sound = candidates
+        .iter()
+        .any(|target| !table.is_avoided(target, now_ms));
     let home = home_of(request, &candidates);
     candidates
         .into_iter()
-        .filter(|target| !is_any_sound || !target.faults.is_paused(now_ms))
+        .filter(|target| !is_any_sound || !table.is_avoided(target, now_ms))
         .map(|target| {
             let is_home = home.as_ref() == Some(&target.entry.name);
             let delay_ms = expected_delay_ms(request, target, is_home, settings, now_ms);
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -3,11 +3,13 @@
 mod choice;
 mod fault_history;
 mod part_cache;
+mod reach;
 mod target_state;
 mod target_table;
 
 pub use choice::{ChoiceRequest, ChoiceSettings, choose_target};
 pub use fault_history::{CallEnd, FaultHistory};
 pub use part_cache::PartCache;
+pub use reach::Reach;
 pub use target_state::TargetState;
-pub use target_table::{TargetChange, TargetTable};
+pub use target_table::{Avoided, TargetChange, TargetTable};
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use toucan_types::{FastHashMap, ServiceName, TargetName};
+use toucan_types::{DataCentreName, FastHashMap, ServiceName, TargetName};
 
 use crate::config::TargetEntry;
 
-use super::TargetState;
+use super::{CallEnd, Reach, TargetState};
 
 /// What a new registration changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,6 +23,16 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetTable {
     by_name: FastHashMap<TargetName, TargetState>,
+    reach: FastHashMap<DataCentreName, Reach>,
+}
+
+/// Who is avoided after a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Avoided {
+    /// The target itself.
+    pub target: bool,
+    /// All targets of its data centre.
+    pub data_centre: bool,
 }
 
 impl TargetTable {
@@ -53,6 +63,29 @@
         }
     }
 
+    /// Notes how a call to a target ended.
+    pub fn note_end(&mut self, name: &TargetName, end: CallEnd, now_ms: u64) -> Avoided {
+        let Some(target) = self.by_name.get_mut(name) else {
+            return Avoided::default();
+        };
+        let data_centre = target.entry.data_centre.clone();
+        let reach = self.reach.entry(data_centre).or_default();
+        Avoided {
+            target: target.faults.note(end, now_ms),
+            data_centre: reach.note(name, end, now_ms),
+        }
+    }
+
+    /// Whether a target, or the way to its data centre, is avoided.
+    #[must_use]
+    pub fn is_avoided(&self, target: &TargetState, now_ms: u64) -> bool {
+        target.faults.is_paused(now_ms)
+            || self
+                .reach
+                .get(&target.entry.data_centre)
+                .is_some_and(|reach| reach.is_paused(now_ms))
+    }
+
     /// Removes a target; true if it was known.
     pub fn remove(&mut self, name: &TargetName) -> bool {
         self.by_name.remove(name).is_some()
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -240,22 +240,23 @@
     pub(crate) fn note_end(&self, end: CallEnd) {
         let now_ms = self.gateway.now_ms();
         let mut core = self.gateway.core.borrow_mut();
-        let Some(state) = core.targets.get_mut(&self.target) else {
+        let avoided = core.targets.note_end(&self.target, end, now_ms);
+        if !avoided.target && !avoided.data_centre {
             return;
-        };
-        let is_paused = state.faults.note(end, now_ms);
-        let (failed_part, until_ms) = (state.faults.failed_part(), state.faults.paused_until_ms());
-        drop(core);
-        if is_paused {
-            log::warn!(
-                target: "target",
-                name = self.target.as_str(),
-                end:? = end,
-                failed_part = failed_part,
-                pause_ms = until_ms.saturating_sub(now_ms);
-                "target avoided after failures"
-            );
         }
+        let Some(state) = core.targets.get(&self.target) else {
+            return;
+        };
+        log::warn!(
+            target: "target",
+            name = self.target.as_str(),
+            end:? = end,
+            failed_part = state.faults.failed_part(),
+            pause_ms = state.faults.paused_until_ms().saturating_sub(now_ms),
+            data_centre = state.entry.data_centre.as_str(),
+            is_data_centre_avoided = avoided.data_centre;
+            "target avoided after failures"
+        );
     }
 }
 
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -231,8 +231,8 @@
         most_in_flight: most_connections(gateway, call, now_ms),
         draw: hash_of(&call.id),
     };
-    let targets = core.targets.of_service(&call.service);
-    let chosen = choose_target(&request, targets, &ChoiceSettings::default(), now_ms)?;
+    let settings = ChoiceSettings::default();
+    let chosen = choose_target(&request, &call.service, &core.targets, &settings, now_ms)?;
     Some(Rc::clone(&chosen.entry))
 }
 
--- a/crates/toucan_gateway/src/serving/target_pool.rs
+++ b/crates/toucan_gateway/src/serving/target_pool.rs
@@ -16,7 +16,7 @@
 
 /// Longest time to set up a connection. A lost first packet is sent again only after a second, so
 /// waiting longer than this rarely helps.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest wait until a connection whose answer was read takes the next call.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// Idle time after which a connection is not used again, unless the target allows another time.
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Which target gets a call, under the load patterns that the choice answers.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, sync::LazyLock};
 
 use toucan_gateway::{
     config::{EngineTraits, TargetEntry},
@@ -31,6 +31,11 @@
     }
 }
 
+fn service() -> &'static ServiceName {
+    static SERVICE: LazyLock<ServiceName> = LazyLock::new(|| ServiceName::from("s"));
+    &SERVICE
+}
+
 fn table(count: usize) -> TargetTable {
     let mut table = TargetTable::default();
     for at in 0..count {
@@ -68,7 +73,13 @@
         most_in_flight: 100,
         draw,
     };
-    choose_target(&request, table.iter(), &ChoiceSettings::default(), now_ms)
+    choose_target(
+        &request,
+        service(),
+        table,
+        &ChoiceSettings::default(),
+        now_ms,
+    )
 }
 
 #[test]
@@ -166,3 +177,39 @@
     faults.note(CallEnd::Answered, 10);
     assert!(!faults.is_paused(10));
 }
+
+#[test]
+fn a_data_centre_that_is_cut_off_is_avoided_after_two_targets() {
+    let mut table = table(2);
+    for at in 0..6 {
+        let mut other = entry(&format!("far-{at}"), 1);
+        other.data_centre = DataCentreName::from("there");
+        table.register(other);
+    }
+    let far = |at: usize| TargetName::from(format!("far-{at}"));
+    assert!(
+        !table
+            .note_end(&far(0), CallEnd::NotConnected, 0)
+            .data_centre
+    );
+    assert!(
+        !table
+            .note_end(&far(0), CallEnd::NotConnected, 0)
+            .data_centre,
+        "one target may be down by itself"
+    );
+    assert!(
+        table
+            .note_end(&far(1), CallEnd::NotConnected, 0)
+            .data_centre
+    );
+    for draw in 0..20 {
+        let chosen = choose(&table, &prompt(draw), &[], draw, 500).expect("two are near");
+        assert_eq!(chosen.entry.data_centre.as_str(), "here");
+    }
+    table.note_end(&far(2), CallEnd::Answered, 600);
+    let far_again = (0..20)
+        .filter_map(|draw| choose(&table, &prompt(draw), &[], draw, 700))
+        .any(|target| target.entry.data_centre.as_str() == "there");
+    assert!(far_again, "an answer ends it");
+}
