Refuse prompts that their engine is too far behind for

Ruled out: tokens (most of the refusals for them came later, when the prompts of late calls had used them up) and preemption (none). Change: a call is refused at once, with the time that the engine needs, if the backlog of the best engine exceeds 0.85 of its objective; times to return are spread. The expectation and what was seen stand in the line of each call.

--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -28,6 +28,11 @@
     BudgetInUse,
     /// no target can take the call
     NoTarget,
+    /// the engines are behind, and the call would be late
+    Overloaded {
+        /// Time until they are expected to have caught up.
+        return_ms: u64,
+    },
     /// the target refused the call without running it
     TargetFull,
     /// the time for the call ended before it was sent
@@ -57,6 +62,7 @@
             | Self::BudgetInUse
             | Self::NoTarget
             | Self::TargetFull
+            | Self::Overloaded { .. }
             | Self::TooLate
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
@@ -77,6 +83,7 @@
             // A stopping VM is left by the balancer at once; another one takes the next attempt.
             Self::Stopping => 50,
             Self::TargetFull | Self::NoTarget => 250,
+            Self::Overloaded { return_ms } => return_ms,
             Self::NotConfigured => 500,
             Self::BudgetNotReachable => 1_000,
             // Tokens come back only as other calls end below their most, or with a top-up.
@@ -100,6 +107,7 @@
             Self::BudgetNotReachable => "budget_not_reachable",
             Self::BudgetInUse => "budget_in_use",
             Self::NoTarget => "no_target",
+            Self::Overloaded { .. } => "overloaded",
             Self::TargetFull => "target_full",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -13,6 +13,10 @@
 pub struct ChoiceSettings {
     /// Prompt tokens that an engine reads in a millisecond.
     pub tokens_read_per_ms: f64,
+    /// Time to the first event at an idle engine that holds the whole prompt.
+    pub least_first_event_ms: f64,
+    /// Time by which each call at an engine lengthens one step, of which the first event needs one.
+    pub step_per_call_ms: f64,
     /// Time by which each call at an engine delays the first event of another.
     pub delay_per_call_ms: f64,
     /// Time by which a call at a plain service delays another, once all slots are taken.
@@ -33,6 +37,8 @@
     fn default() -> Self {
         Self {
             tokens_read_per_ms: 50.0,
+            least_first_event_ms: 30.0,
+            step_per_call_ms: 1.0,
             delay_per_call_ms: 8.0,
             delay_per_slot_ms: 40.0,
             failure_delay_ms: 2_000.0,
@@ -43,6 +49,17 @@
     }
 }
 
+/// A target that was chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Choice<'a> {
+    /// The target.
+    pub target: &'a TargetState,
+    /// Expected time from the sending of the call to the first event of its answer.
+    pub first_event_ms: f64,
+    /// Part of that time for calls that came before.
+    pub backlog_ms: f64,
+}
+
 /// What a choice is made for.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceRequest<'a> {
@@ -71,7 +88,7 @@
     table: &'a TargetTable,
     settings: &ChoiceSettings,
     now_ms: u64,
-) -> Option<&'a TargetState> {
+) -> Option<Choice<'a>> {
     let candidates: Vec<&TargetState> = table
         .of_service(service)
         .filter(|target| !target.entry.draining)
@@ -95,7 +112,26 @@
             )
         })
         .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
-        .map(|(_delay_ms, _tie, target)| target)
+        .map(|(_delay_ms, _tie, target)| expect(request, target, settings, now_ms))
+}
+
+/// What is expected of a call at an engine.
+fn expect<'a>(
+    request: &ChoiceRequest<'_>,
+    target: &'a TargetState,
+    settings: &ChoiceSettings,
+    now_ms: u64,
+) -> Choice<'a> {
+    let prompt: u64 = request.parts.iter().map(|part| part.tokens).sum();
+    let cached = target.parts.cached_tokens(request.parts, now_ms);
+    let own_ms = prompt.saturating_sub(cached) as f64 / settings.tokens_read_per_ms;
+    let backlog_ms = f64::from(target.load(now_ms)) * settings.step_per_call_ms
+        + target.unread(now_ms) as f64 / settings.tokens_read_per_ms;
+    Choice {
+        target,
+        first_event_ms: settings.least_first_event_ms + backlog_ms + own_ms,
+        backlog_ms,
+    }
 }
 
 /// Time that the target is expected to add before the first event or the answer.
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -2,13 +2,15 @@
 
 mod choice;
 mod fault_history;
+mod overload;
 mod part_cache;
 mod reach;
 mod target_state;
 mod target_table;
 
-pub use choice::{ChoiceRequest, ChoiceSettings, choose_target};
+pub use choice::{Choice, ChoiceRequest, ChoiceSettings, choose_target};
 pub use fault_history::{CallEnd, FaultHistory};
+pub use overload::overload_return_ms;
 pub use part_cache::PartCache;
 pub use reach::Reach;
 pub use target_state::TargetState;
--- a/crates/toucan_gateway/src/serving/answer.rs
+++ b/crates/toucan_gateway/src/serving/answer.rs
@@ -10,9 +10,13 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::Full;
+use rand::Rng;
 
 use crate::Refusal;
 
+/// Factors by which the times to return are spread.
+const RETURN_SPREAD: std::ops::Range<f64> = 0.8..1.4;
+
 /// the answer ended before it was complete
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub struct IncompleteAnswer;
@@ -83,7 +87,9 @@
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     if let Some(wait) = refusal.retry_after() {
-        let seconds = format!("{:.3}", wait.as_secs_f64());
+        // Callers that are refused together must not come back as one wave.
+        let spread = rand::rng().random_range(RETURN_SPREAD);
+        let seconds = format!("{:.3}", wait.as_secs_f64() * spread);
         match HeaderValue::try_from(seconds) {
             Ok(value) => {
                 headers.insert(header::RETRY_AFTER, value);
--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -19,6 +19,10 @@
     pub(crate) sent_to: Vec<String>,
     /// Tokens reserved at most.
     pub(crate) reserved_tokens: u64,
+    /// Time from the last sending to the first event, as it was expected.
+    pub(crate) expected_ms: u64,
+    /// Time from the last sending to the first event, as it was.
+    pub(crate) first_event_ms: u64,
 }
 
 impl CallLog {
@@ -54,6 +58,8 @@
             sent_to = self.sent_to.join(",").as_str(),
             reserved_tokens = self.reserved_tokens,
             spent_tokens = spent_tokens,
+            expected_ms = self.expected_ms,
+            first_event_ms = self.first_event_ms,
             status = status,
             took_ms = took_ms,
             outcome = outcome;
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -82,6 +82,8 @@
         began_ms,
         sent_to: Vec::new(),
         reserved_tokens: 0,
+        expected_ms: 0,
+        first_event_ms: 0,
     }
 }
 
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -13,7 +13,7 @@
 use crate::{
     Gateway, Platform, Refusal,
     config::{RouteKind, TargetEntry},
-    placement::{CallEnd, ChoiceRequest, ChoiceSettings, choose_target},
+    placement::{CallEnd, ChoiceRequest, ChoiceSettings, choose_target, overload_return_ms},
     retries::{NextStep, SendFailure, next_step},
 };
 
@@ -134,7 +134,7 @@
             };
             return Err((refusal, "deadline reached"));
         }
-        let Some(target) = choose(gateway, call, now_ms) else {
+        let Some(chosen) = choose(gateway, call, now_ms) else {
             let refusal = if call.progress.may_have_run {
                 Refusal::TargetFailed
             } else {
@@ -142,6 +142,13 @@
             };
             return Err((refusal, "no target is left"));
         };
+        account.log.expected_ms = chosen.expected_ms;
+        if let Some(return_ms) = chosen.return_ms
+            && call.progress.sends == 0
+        {
+            return Err((Refusal::Overloaded { return_ms }, "the engines are behind"));
+        }
+        let target = chosen.entry;
         let failure = match send_once(gateway, call, account, &target, last_event_id).await {
             Ok(answered) => return Ok(answered),
             Err(failure) => failure,
@@ -217,11 +224,7 @@
     );
 }
 
-fn choose<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    call: &Call,
-    now_ms: u64,
-) -> Option<Rc<TargetEntry>> {
+fn choose<P: Platform>(gateway: &Rc<Gateway<P>>, call: &Call, now_ms: u64) -> Option<Chosen> {
     let core = gateway.core.borrow();
     let request = ChoiceRequest {
         engine: call.service_settings().and_then(|service| service.engine),
@@ -233,7 +236,22 @@
     };
     let settings = ChoiceSettings::default();
     let chosen = choose_target(&request, &call.service, &core.targets, &settings, now_ms)?;
-    Some(Rc::clone(&chosen.entry))
+    Some(Chosen {
+        entry: Rc::clone(&chosen.target.entry),
+        expected_ms: chosen.first_event_ms as u64,
+        return_ms: request
+            .engine
+            .and_then(|_engine| overload_return_ms(chosen.backlog_ms, call.route.goal_ms)),
+    })
+}
+
+/// The target for a call.
+struct Chosen {
+    entry: Rc<TargetEntry>,
+    /// Expected time to the first event.
+    expected_ms: u64,
+    /// Time after which the call may come back, if the target is too far behind.
+    return_ms: Option<u64>,
 }
 
 /// Connections that this VM may open to one target of the call's service.
@@ -285,6 +303,7 @@
         }
         Ok(Read::Events(answer, first)) => {
             account.note_run();
+            account.log.first_event_ms = gateway.now_ms().saturating_sub(now_ms);
             visit.note_first_event();
             let events = EventsAnswer {
                 answer,
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -80,6 +80,7 @@
         &ChoiceSettings::default(),
         now_ms,
     )
+    .map(|choice| choice.target)
 }
 
 #[test]
