Remove settings and fields that nothing reads; hold the page of metrics against the code

Cause: a read of the whole change found a bound, an address, a header and four fields of targets and routes without a reader, and words of ended gateways that stayed for good.

--- a/crates/toucan_gateway/src/config/route.rs
+++ b/crates/toucan_gateway/src/config/route.rs
@@ -56,8 +56,6 @@
     pub timeout_ms: u64,
     /// Time within which the answer, or its first event, should reach the caller.
     pub goal_ms: u64,
-    /// Longest pause between two events of a stream that is still on time.
-    pub gap_goal_ms: u64,
     /// Rank; 0 goes first.
     pub priority: u8,
     /// Most targets that one attempt of a caller may be sent to.
--- a/crates/toucan_gateway/src/config/service.rs
+++ b/crates/toucan_gateway/src/config/service.rs
@@ -16,10 +16,6 @@
 /// What the configuration tells of a service's model engines.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EngineTraits {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
-    /// Tokens that the memory of one engine holds.
-    pub memory_tokens: u64,
     /// Most tokens in one event of a stream.
     pub tokens_per_event: u32,
 }
--- a/crates/toucan_gateway/src/config/target_entry.rs
+++ b/crates/toucan_gateway/src/config/target_entry.rs
@@ -19,8 +19,6 @@
     pub slots: u32,
     /// Whether it leaves and must get no new work.
     pub draining: bool,
-    /// How much longer it stays slow after its start.
-    pub warm_up_ms: u64,
     /// Unix time of its start; another value under the same id is another start.
     pub started_at_unix_ms: u64,
 }
--- a/crates/toucan_gateway/src/dialect.rs
+++ b/crates/toucan_gateway/src/dialect.rs
@@ -45,8 +45,6 @@
     pub tokens: Option<TokenCounts>,
     /// Parts of the prompt in their order; the last one belongs to the call or its session.
     pub prompt_parts: Vec<PromptPart>,
-    /// Id of the last event that the caller has, if it resumes a stream.
-    pub last_event_id: Option<String>,
 }
 
 /// What the gateway adds to a call that it passes on.
--- a/crates/toucan_gateway/src/event_log.rs
+++ b/crates/toucan_gateway/src/event_log.rs
@@ -28,7 +28,6 @@
 /// Time between two looks at what is still to be written.
 const FLUSH_INTERVAL: Duration = Duration::from_millis(10);
 
-static DROPPED: AtomicU64 = AtomicU64::new(0);
 /// Lines that were handed to the writer.
 static QUEUED: AtomicU64 = AtomicU64::new(0);
 /// Lines of those that were written.
@@ -64,11 +63,6 @@
     Ok(())
 }
 
-/// Lines that were dropped since the start because the writer was behind.
-pub fn dropped_log_lines() -> u64 {
-    DROPPED.load(Ordering::Relaxed)
-}
-
 /// Waits until all lines are written, at most for `patience`; to be called before the process ends.
 pub fn flush_event_log(patience: Duration) {
     let end = Instant::now() + patience;
@@ -96,7 +90,6 @@
                 QUEUED.fetch_add(1, Ordering::Release);
             }
             Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                DROPPED.fetch_add(1, Ordering::Relaxed);
                 metrics::counter!("toucan_dropped_log_lines_total").increment(1);
             }
         }
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -32,7 +32,7 @@
 
 pub use clock::boot_time_ms;
 pub use error::Refusal;
-pub use event_log::{EventLogError, dropped_log_lines, flush_event_log, start_event_log};
+pub use event_log::{EventLogError, flush_event_log, start_event_log};
 pub use event_splitter::EventSplitter;
 pub use gateway::{Gateway, StartError};
 pub use http_connection::{ConnectError, connect_http};
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -35,6 +35,8 @@
 
 /// Age after which another VM's word on its calls is no longer used.
 const PEER_LOAD_MS: u64 = 3_000;
+/// Words of other VMs above which old ones are removed.
+const MOST_PEERS: usize = 128;
 
 impl TargetState {
     /// A target of which only its registration is known.
@@ -57,6 +59,11 @@
             unread_tokens,
             at_ms: now_ms,
         };
+        if self.by_peer.len() >= MOST_PEERS {
+            // Each start of a VM is another peer; those that ended would stay for good.
+            self.by_peer
+                .retain(|_peer, load| now_ms.saturating_sub(load.at_ms) <= PEER_LOAD_MS);
+        }
         self.by_peer.insert(peer, load);
     }
 
--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 
 use toucan_types::{DataCentreName, VmName};
 
@@ -11,8 +11,6 @@
     pub vm: VmName,
     /// Data centre of the VM.
     pub data_centre: DataCentreName,
-    /// Address of the VM.
-    pub ip: Ipv4Addr,
     /// Where callers connect.
     pub callers: SocketAddrV4,
     /// Where the balancer asks whether the VM takes connections.
@@ -34,8 +32,6 @@
     pub retry_ratio: f64,
     /// Retries allowed beyond the ratio in each window, over all VMs.
     pub retry_slack: u32,
-    /// Longest time for which an event of a stream may be held.
-    pub pass_event_ms: u64,
     /// Partitions that a topic may have.
     pub most_partitions: u32,
 }
@@ -46,7 +42,6 @@
             stop_ms: 8_000,
             retry_ratio: 0.1,
             retry_slack: 10,
-            pass_event_ms: 100,
             most_partitions: 1,
         }
     }
--- a/crates/toucan_gateway/tests/configuration.rs
+++ b/crates/toucan_gateway/tests/configuration.rs
@@ -18,7 +18,6 @@
         }],
         timeout_ms: 1_000,
         goal_ms: 100,
-        gap_goal_ms: 100,
         priority: 0,
         most_targets: 1,
         is_public: false,
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -13,8 +13,6 @@
 use toucan_types::{DataCentreName, ServiceName, TargetName};
 
 const ENGINE: EngineTraits = EngineTraits {
-    slots: 64,
-    memory_tokens: 400_000,
     tokens_per_event: 5,
 };
 
@@ -26,7 +24,6 @@
         data_centre: DataCentreName::from("here"),
         slots: 64,
         draining: false,
-        warm_up_ms: 0,
         started_at_unix_ms,
     }
 }
