--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -40,17 +40,13 @@
 ) -> Response<AnswerBody<impl Stream<Item = Result<Bytes, IncompleteAnswer>>>> {
     let began_ms = gateway.now_ms();
     let mut account = CallAccount::new(Rc::clone(&gateway), new_log(began_ms));
-    let answer = match open_call(&gateway, request, &mut account).await {
-        Ok((call, answered)) => Ok((call, answered)),
+    let (call, answered) = match open_call(&gateway, request, &mut account).await {
+        Ok(opened) => opened,
         Err((refusal, reason)) => {
             account.refuse(refusal, reason);
-            Err(refusal)
+            return refusal_answer(refusal);
         }
     };
-    let (call, answered) = match answer {
-        Ok(opened) => opened,
-        Err(refusal) => return refusal_answer(refusal),
-    };
     match answered {
         Answered::Whole(whole) => whole_answer(*whole, &mut account),
         Answered::Events(events) => {
@@ -88,6 +84,7 @@
     pub(crate) visit: TargetVisit<P>,
 }
 
+/// Why the gateway answers a call itself, and what it was decided from.
 type Refused = (Refusal, &'static str);
 
 async fn open_call<P: Platform>(
