--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -26,6 +26,18 @@
 
 impl std::error::Error for ConnectError {}
 
+impl From<std::io::Error> for ConnectError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+impl From<hyper::Error> for ConnectError {
+    fn from(error: hyper::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
 /// Connects to an address; a local task drives the connection until it ends.
 ///
 /// # Errors
@@ -35,17 +47,15 @@
     address: SocketAddrV4,
     connect_timeout: Duration,
 ) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
-    let failed = |error: &dyn std::fmt::Display| ConnectError::Failed(error.to_string());
-    let socket = TcpSocket::new_v4().map_err(|error| failed(&error))?;
-    set_liveness_options(&socket).map_err(|error| failed(&error))?;
+    let socket = TcpSocket::new_v4()?;
+    set_liveness_options(&socket)?;
     let Ok(connected) = timeout(connect_timeout, socket.connect(address.into())).await else {
         return Err(ConnectError::TimedOut);
     };
-    let stream = connected.map_err(|error| failed(&error))?;
+    let stream = connected?;
     let (sender, connection) = http1::Builder::new()
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
-        .await
-        .map_err(|error| failed(&error))?;
+        .await?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!(target: "pool", address:% = address, error:% = error; "a connection ended");
