Keep one bookkeeping of failed targets, one retry check, one count of unread tokens

Cause: a read of the whole change found that the relay of streams repeated what the sending of calls does on a failure, asked the allowance of retries twice for one retry, and that the tokens a target lacks of a prompt were summed in two places. Change: Call::note_failure, take_retry and PartCache::lacking_tokens serve both; behaviour stays as it is.

--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -122,9 +122,8 @@
     settings: &ChoiceSettings,
     now_ms: u64,
 ) -> Choice<'a> {
-    let prompt: u64 = request.parts.iter().map(|part| part.tokens).sum();
-    let cached = target.parts.cached_tokens(request.parts, now_ms);
-    let own_ms = prompt.saturating_sub(cached) as f64 / settings.tokens_read_per_ms;
+    let own_tokens = target.parts.lacking_tokens(request.parts, now_ms);
+    let own_ms = own_tokens as f64 / settings.tokens_read_per_ms;
     let backlog_ms = f64::from(target.load(now_ms)) * settings.step_per_call_ms
         + target.unread(now_ms) as f64 / settings.tokens_read_per_ms;
     Choice {
--- a/crates/toucan_gateway/src/placement/part_cache.rs
+++ b/crates/toucan_gateway/src/placement/part_cache.rs
@@ -38,6 +38,13 @@
             .sum()
     }
 
+    /// Tokens of the prompt that the target has to read.
+    #[must_use]
+    pub fn lacking_tokens(&self, parts: &[PromptPart], now_ms: u64) -> u64 {
+        let all: u64 = parts.iter().map(|part| part.tokens).sum();
+        all.saturating_sub(self.cached_tokens(parts, now_ms))
+    }
+
     /// Forgets everything, after the target lost its memory.
     pub fn clear(&mut self) {
         self.sent_at_ms.clear();
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -12,7 +12,7 @@
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     dialect::{CallHead, Dispatch, TokenCounts},
     placement::CallEnd,
-    retries::CallProgress,
+    retries::{CallProgress, SendFailure},
 };
 
 use super::call_log::CallLog;
@@ -53,6 +53,24 @@
         self.deadline_ms.saturating_sub(now_ms)
     }
 
+    /// Notes that a target failed the call.
+    pub(crate) fn note_failure(&mut self, target: &TargetName, failure: SendFailure) {
+        match failure {
+            // A connection that had ended says nothing of the next one.
+            SendFailure::NotSent(CallEnd::Broken) => {
+                self.progress.unsent += 1;
+                return;
+            }
+            SendFailure::NotSent(_) => self.progress.unsent += 1,
+            SendFailure::NotRun => self.progress.sends += 1,
+            SendFailure::MayHaveRun(_) => {
+                self.progress.sends += 1;
+                self.progress.may_have_run = true;
+            }
+        }
+        self.tried.push(target.clone());
+    }
+
     /// What the configuration tells of the service.
     pub(crate) fn service_settings(&self) -> Option<&Rc<Service>> {
         self.config.services.get(&self.service)
@@ -210,8 +228,7 @@
         let parts = &call.head.prompt_parts;
         let mut unread_tokens = 0;
         if let Some(state) = gateway.core.borrow_mut().targets.get_mut(target) {
-            let all: u64 = parts.iter().map(|part| part.tokens).sum();
-            unread_tokens = all.saturating_sub(state.parts.cached_tokens(parts, now_ms));
+            unread_tokens = state.parts.lacking_tokens(parts, now_ms);
             state.in_flight += 1;
             state.unread_tokens += unread_tokens;
             state.parts.note(parts, now_ms);
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -6,12 +6,14 @@
 use futures_util::Stream;
 use tokio::time::timeout;
 
-use crate::{EventSplitter, Gateway, Platform, config::RouteKind, placement::CallEnd};
+use crate::{
+    EventSplitter, Gateway, Platform, config::RouteKind, placement::CallEnd, retries::SendFailure,
+};
 
 use super::{
     answer::IncompleteAnswer,
     call::{Call, CallAccount},
-    serve_call::{Answered, EventsAnswer, next_bytes, send_until_answered},
+    serve_call::{Answered, EventsAnswer, next_bytes, send_until_answered, take_retry},
 };
 
 /// How the stream of one target ended.
@@ -69,9 +71,7 @@
                     let target = source.visit.target().clone();
                     // Closes the connection before another target goes on.
                     drop(source);
-                    call.progress.sends += 1;
-                    call.progress.may_have_run = true;
-                    call.tried.push(target.clone());
+                    call.note_failure(&target, SendFailure::MayHaveRun(failure));
                     log::info!(
                         target: "call",
                         id = call.id.as_str(),
@@ -106,17 +106,11 @@
 ) -> Option<EventsAnswer<P>> {
     let may_resume = call.route.kind == RouteKind::Streaming { resumable: true }
         && call.progress.sends < call.route.most_targets
-        && gateway.allows_retry(&call.service);
+        && take_retry(gateway, &call.service, gateway.now_ms());
     if !may_resume {
         return None;
     }
     let last_event_id = splitter.last_id().map(ToOwned::to_owned);
-    let now_ms = gateway.now_ms();
-    let bounds = &gateway.bounds();
-    gateway
-        .core
-        .borrow_mut()
-        .take_retry(&call.service, bounds, now_ms);
     let resumed = send_until_answered(gateway, call, account, last_event_id.as_deref()).await;
     match resumed {
         Ok(Answered::Events(events)) => Some(*events),
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -150,7 +150,7 @@
             Ok(answered) => return Ok(answered),
             Err(failure) => failure,
         };
-        note_failure(call, &target, failure);
+        call.note_failure(&target.name, failure);
         let now_ms = gateway.now_ms();
         let left_ms = call.left_ms(now_ms);
         let route = &call.route;
@@ -174,7 +174,12 @@
     }
 }
 
-fn take_retry<P: Platform>(gateway: &Rc<Gateway<P>>, service: &ServiceName, now_ms: u64) -> bool {
+/// Takes one retry from the allowance of a service; false if there is none.
+pub(crate) fn take_retry<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    service: &ServiceName,
+    now_ms: u64,
+) -> bool {
     let bounds = &gateway.bounds();
     gateway
         .core
@@ -182,26 +187,6 @@
         .take_retry(service, bounds, now_ms)
 }
 
-fn note_failure(call: &mut Call, target: &TargetEntry, failure: SendFailure) {
-    match failure {
-        // A connection that had ended says nothing of the next one.
-        SendFailure::NotSent(CallEnd::Broken) => call.progress.unsent += 1,
-        SendFailure::NotSent(_) => {
-            call.progress.unsent += 1;
-            call.tried.push(target.name.clone());
-        }
-        SendFailure::NotRun => {
-            call.progress.sends += 1;
-            call.tried.push(target.name.clone());
-        }
-        SendFailure::MayHaveRun(_) => {
-            call.progress.sends += 1;
-            call.progress.may_have_run = true;
-            call.tried.push(target.name.clone());
-        }
-    }
-}
-
 fn log_failure(
     id: &RequestId,
     target: &TargetEntry,
