Use a deregistered target no longer than the drain bound allows

Cause: after any failed read of the registrations, even one, ends of registrations were held back for 2.5 s from the next answer on, and were carried out only after a further read had succeeded. The drain bound is 2 s. A target that left as planned just after a failed read was sent calls for 2.5 s and longer; if the store went away again, for as long as that lasted.

Ruled out: pooled connections and calls waiting to be sent (no wait after the choice but the 250 ms to connect); the poll (400 ms).

Change: placement/lapse.rs decides how long; only an outage of a second or more counts, the hold is at most 0.85 of the drain bound (0.6 for later reads), and the end is part of the target's state, so that it needs no further read. The drain bound is read from the settings.

--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -91,7 +91,7 @@
 ) -> Option<Choice<'a>> {
     let candidates: Vec<&TargetState> = table
         .of_service(service)
-        .filter(|target| !target.entry.draining)
+        .filter(|target| target.takes_calls(now_ms))
         .filter(|target| !request.tried.contains(&target.entry.name))
         .filter(|target| target.in_flight < request.most_in_flight)
         .collect();
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod fault_history;
+mod lapse;
 mod overload;
 mod part_cache;
 mod reach;
@@ -10,6 +11,7 @@
 
 pub use choice::{Choice, ChoiceRequest, ChoiceSettings, choose_target};
 pub use fault_history::{CallEnd, FaultHistory};
+pub use lapse::LapseRule;
 pub use overload::overload_return_ms;
 pub use part_cache::PartCache;
 pub use reach::Reach;
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -21,6 +21,8 @@
     pub faults: FaultHistory,
     /// Parts of prompts that it was sent of late.
     pub parts: PartCache,
+    /// When it is no longer used because its registration ended; [`None`] while it is registered.
+    pub usable_until_ms: Option<u64>,
     /// Calls that other VMs say it works on, with the time of their word.
     by_peer: FastHashMap<u64, PeerLoad>,
 }
@@ -48,10 +50,20 @@
             unread_tokens: 0,
             faults: FaultHistory::default(),
             parts: PartCache::default(),
+            usable_until_ms: None,
             by_peer: FastHashMap::default(),
         }
     }
 
+    /// Whether new calls may be sent to it.
+    #[must_use]
+    pub fn takes_calls(&self, now_ms: u64) -> bool {
+        let is_gone = self
+            .usable_until_ms
+            .is_some_and(|until_ms| now_ms >= until_ms);
+        !self.entry.draining && !is_gone
+    }
+
     /// Notes how many calls another VM has here, and what is still to be read of their prompts.
     pub fn note_peer(&mut self, peer: u64, in_flight: u32, unread_tokens: u64, now_ms: u64) {
         let load = PeerLoad {
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -43,6 +43,7 @@
             self.by_name.insert(state.entry.name.clone(), state);
             return TargetChange::Started;
         };
+        known.usable_until_ms = None;
         if entry.started_at_unix_ms < known.entry.started_at_unix_ms {
             // A late word of the start before; the present one knows better.
             return TargetChange::Other;
@@ -86,9 +87,34 @@
                 .is_some_and(|reach| reach.is_paused(now_ms))
     }
 
-    /// Removes a target; true if it was known.
-    pub fn remove(&mut self, name: &TargetName) -> bool {
-        self.by_name.remove(name).is_some()
+    /// Notes that a target's registration ended; the target is used until `usable_until_ms`.
+    ///
+    /// True if this is news.
+    pub fn deregister(&mut self, name: &TargetName, usable_until_ms: u64) -> bool {
+        let Some(target) = self.by_name.get_mut(name) else {
+            return false;
+        };
+        let is_news = target.usable_until_ms.is_none();
+        target.usable_until_ms.get_or_insert(usable_until_ms);
+        is_news
+    }
+
+    /// Removes the targets whose registration ended and that are used no longer.
+    pub fn remove_ended(&mut self, now_ms: u64) -> Vec<TargetName> {
+        let is_ended = |target: &TargetState| {
+            let until_ms = target.usable_until_ms;
+            until_ms.is_some_and(|until_ms| now_ms >= until_ms)
+        };
+        let ended: Vec<TargetName> = self
+            .by_name
+            .values()
+            .filter(|target| is_ended(target))
+            .map(|target| target.entry.name.clone())
+            .collect();
+        for name in &ended {
+            self.by_name.remove(name);
+        }
+        ended
     }
 
     /// One target.
--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -28,6 +28,8 @@
 pub struct Bounds {
     /// Time from the request to stop until the process is killed.
     pub stop_ms: u64,
+    /// Time after a target's leaving is known from which no call may reach it.
+    pub drain_ms: u64,
     /// Retries allowed for each request, over all VMs.
     pub retry_ratio: f64,
     /// Retries allowed beyond the ratio in each window, over all VMs.
@@ -40,6 +42,7 @@
     fn default() -> Self {
         Self {
             stop_ms: 8_000,
+            drain_ms: 2_000,
             retry_ratio: 0.1,
             retry_slack: 10,
             most_partitions: 1,
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -6,7 +6,7 @@
     config::{EngineTraits, TargetEntry},
     dialect::PromptPart,
     placement::{
-        CallEnd, ChoiceRequest, ChoiceSettings, FaultHistory, TargetChange, TargetState,
+        CallEnd, ChoiceRequest, ChoiceSettings, FaultHistory, LapseRule, TargetChange, TargetState,
         TargetTable, choose_target,
     },
 };
@@ -211,3 +211,51 @@
         .any(|target| target.entry.data_centre.as_str() == "there");
     assert!(far_again, "an answer ends it");
 }
+
+const DRAIN_MS: u64 = 2_000;
+
+#[test]
+fn a_registration_that_ends_on_a_calm_day_ends_the_use_at_once() {
+    let mut rule = LapseRule::default();
+    rule.note_answer(1_000);
+    rule.note_answer(1_400);
+    assert_eq!(rule.usable_until_ms(DRAIN_MS, 1_400), 1_400);
+}
+
+#[test]
+fn one_failed_read_is_no_outage() {
+    let mut rule = LapseRule::default();
+    rule.note_answer(1_000);
+    rule.note_failure();
+    rule.note_answer(1_600);
+    assert_eq!(rule.usable_until_ms(DRAIN_MS, 1_600), 1_600);
+}
+
+#[test]
+fn registrations_that_lapsed_in_an_outage_are_waited_for_within_the_drain_bound() {
+    let mut rule = LapseRule::default();
+    rule.note_answer(1_000);
+    rule.note_failure();
+    rule.note_answer(9_000);
+    assert_eq!(rule.usable_until_ms(DRAIN_MS, 9_000), 10_700);
+    rule.note_answer(9_400);
+    assert_eq!(rule.usable_until_ms(DRAIN_MS, 9_400), 10_600);
+    rule.note_answer(10_600);
+    assert_eq!(rule.usable_until_ms(DRAIN_MS, 10_600), 11_000);
+    rule.note_answer(12_000);
+    assert_eq!(rule.usable_until_ms(DRAIN_MS, 12_000), 12_000);
+}
+
+#[test]
+fn a_target_whose_registration_ended_is_used_no_longer_than_allowed() {
+    let mut table = table(1);
+    let name = TargetName::from("t0");
+    assert!(table.deregister(&name, 500));
+    assert!(!table.deregister(&name, 900), "the first word counts");
+    assert!(choose(&table, &prompt(1), &[], 0, 499).is_some());
+    assert!(choose(&table, &prompt(1), &[], 0, 500).is_none());
+    table.register(entry("t0", 1));
+    assert!(choose(&table, &prompt(1), &[], 0, 500).is_some());
+    table.deregister(&name, 600);
+    assert_eq!(table.remove_ended(600), [name]);
+}
