Report all findings of a document together, also beside unknown sections

Cause: WholeDocument::split returned at the first look, with the unknown sections only; what was wrong in the known ones was not read. A section given twice silently replaced the first. Change: the sections that are known are checked all the same, findings come in the order of the text, a second section of a name is a finding. Document::findings is the one place that joins errors and warnings (it stood three times). The demo ends each progress line when its output is no terminal. Shown: toucanctl document check on {"finance": {"organisations": [5]}, "nonsense": true} names both, 1:31 and 1:37; three new tests, failing before.

--- a/crates/toucan_bench/src/demo.rs
+++ b/crates/toucan_bench/src/demo.rs
@@ -1,7 +1,7 @@
 //! The demonstration: a small fleet that is cut apart and healed under load.
 
 use std::fs;
-use std::io::{self, Write};
+use std::io::{self, IsTerminal, Write};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -90,14 +90,19 @@
 }
 
 fn print_progress(elapsed: Duration, progress: Progress) {
-    print!(
-        "\r{:>4} s   started {:>6}   answered {:>6}   without an answer {:>4}   in progress {:>4}",
+    let line = format!(
+        "{:>4} s   started {:>6}   answered {:>6}   without an answer {:>4}   in progress {:>4}",
         elapsed.as_secs(),
         progress.started,
         progress.answered,
         progress.unanswered,
         progress.started - progress.answered - progress.unanswered
     );
+    if io::stdout().is_terminal() {
+        print!("\r{line}");
+    } else {
+        println!("{line}");
+    }
     // A line that cannot be shown is no reason to end.
     let _ = io::stdout().flush();
 }
--- a/crates/toucan_config/src/document.rs
+++ b/crates/toucan_config/src/document.rs
@@ -62,6 +62,15 @@
         Self::default().successor(texts, Versions::default())
     }
 
+    /// Everything that is found in the sections, errors or warnings.
+    #[must_use]
+    pub fn findings(texts: &SectionTexts) -> Vec<Finding> {
+        match Self::parse(texts) {
+            Ok(checked) => checked.warnings,
+            Err(findings) => findings,
+        }
+    }
+
     /// Reads and checks the texts of the next document; sections that stay as they are in this one
     /// are not read again.
     pub(crate) fn successor(
--- a/crates/toucan_config/src/whole_document.rs
+++ b/crates/toucan_config/src/whole_document.rs
@@ -6,7 +6,7 @@
 use toucan_types::{Finding, Position, Severity};
 
 use crate::reader::PARSE_OPTIONS;
-use crate::{Section, SectionTexts};
+use crate::{Document, Section, SectionTexts};
 
 /// The three sections cut out of one text, comments within them included.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,6 +19,11 @@
     /// Cuts a text `{"finance": {…}, "models": {…}, "operations": {…}}` into its sections.
     ///
     /// A section that is left out is empty.
+    ///
+    /// # Errors
+    ///
+    /// All findings in the order of the text: sections that are unknown or given twice, and what is
+    /// found in the sections besides.
     pub fn split(text: &str) -> Result<Self, Vec<Finding>> {
         let parsed =
             parse_to_ast(text, &CollectOptions::default(), &PARSE_OPTIONS).map_err(|error| {
@@ -36,6 +41,7 @@
             origins: [Position::default(); 3],
         };
         let mut findings = Vec::new();
+        let mut given = Vec::new();
         for property in &root.properties {
             let name = property.name.as_str();
             let Some(section) = Section::from_name(name) else {
@@ -47,15 +53,22 @@
                 );
                 continue;
             };
+            if given.contains(&section) {
+                let place = Position::of_byte(text, property.range.start);
+                findings.push(finding(name, "the section is given twice").at(place));
+                continue;
+            }
+            given.push(section);
             let range = property.value.range();
             whole.origins[section.index()] = Position::of_byte(text, range.start);
             whole.texts = whole.texts.with(section, &text[range.start..range.end]);
         }
         if findings.is_empty() {
-            Ok(whole)
-        } else {
-            Err(findings)
+            return Ok(whole);
         }
+        findings.extend(whole.relocate(Document::findings(&whole.texts)));
+        findings.sort_by_key(|finding| (finding.position.line, finding.position.column));
+        Err(findings)
     }
 
     /// Joins three sections to one text.
--- a/crates/toucan_config/tests/checks.rs
+++ b/crates/toucan_config/tests/checks.rs
@@ -5,11 +5,7 @@
 use toucan_types::{Finding, OrganisationName, Severity};
 
 fn findings_of(section: Section, text: &str) -> Vec<Finding> {
-    let texts = SectionTexts::default().with(section, text);
-    match Document::parse(&texts) {
-        Ok(checked) => checked.warnings,
-        Err(findings) => findings,
-    }
+    Document::findings(&SectionTexts::default().with(section, text))
 }
 
 #[test_case(Section::Finance, "{", "finance", 1, 1, "Unterminated object"; "unterminated")]
@@ -41,6 +37,21 @@
     assert_eq!(finding.severity, Severity::Error);
 }
 
+#[test_case("{\"finance\": {\"organisations\": [5]}, \"nonsense\": true}", &[("finance.organisations", 1, 31), ("nonsense", 1, 37)]; "unknown section")]
+#[test_case("{\"x\": 1, \"models\": [], \"y\": 2}", &[("x", 1, 2), ("models", 1, 20), ("y", 1, 24)]; "two unknown sections")]
+#[test_case("{\"models\": {},\n\"models\": {}}", &[("models", 2, 1)]; "section twice")]
+fn unknown_sections_hide_nothing(text: &str, expected: &[(&str, u32, u32)]) {
+    let findings = WholeDocument::split(text).unwrap_err();
+    let places: Vec<_> = findings
+        .iter()
+        .map(|finding| {
+            let place = finding.position;
+            (finding.path.as_str(), place.line, place.column)
+        })
+        .collect();
+    assert_eq!(places, expected);
+}
+
 #[test]
 fn all_findings_come_at_once() {
     let texts = SectionTexts::default()
--- a/crates/toucanctl/src/commands/document_files.rs
+++ b/crates/toucanctl/src/commands/document_files.rs
@@ -43,7 +43,7 @@
 fn check_whole(file: &str) -> Result<FileFindings, CliError> {
     let text = read_file(file)?;
     let findings = match WholeDocument::split(&text) {
-        Ok(whole) => whole.relocate(findings_of(whole.texts())),
+        Ok(whole) => whole.relocate(Document::findings(whole.texts())),
         Err(findings) => findings,
     };
     Ok(FileFindings {
@@ -53,7 +53,7 @@
 }
 
 fn check_sections(texts: &SectionTexts, files: &[(Section, String)]) -> Vec<FileFindings> {
-    let findings = findings_of(texts);
+    let findings = Document::findings(texts);
     Section::ALL
         .into_iter()
         .map(|section| {
@@ -71,13 +71,6 @@
         .collect()
 }
 
-fn findings_of(texts: &SectionTexts) -> Vec<Finding> {
-    match Document::parse(texts) {
-        Ok(checked) => checked.warnings,
-        Err(findings) => findings,
-    }
-}
-
 fn report(results: &[FileFindings], options: &Options) -> Report {
     let has_errors = results
         .iter()
