Share retries and connections by all gateways unless most of them are heard

Cause: found by a new test over the whole fleet. A gateway counted those that it had heard within 5 s; cut off alone it took the whole fleet's allowance. Eight that did not hear each other could have made 264 retries where 56 are allowed, and opened 8 x 259 connections to a target that takes 370. A restarted gateway also began with a full allowance although the process before it might just have used it. Change: retries/fleet_share.rs holds both shares as pure functions; Members::processes counts only those heard if they are more than half of those registered, all otherwise (ten minutes at most, for VMs that were replaced); a start begins with half its share. Five ways to split the fleet and a restart of all are tested, four of them failing before (61 to 264 against 56).

--- a/crates/toucan_gateway/src/core.rs
+++ b/crates/toucan_gateway/src/core.rs
@@ -2,20 +2,21 @@
 
 use std::rc::Rc;
 
-use toucan_router::{RetryBudget, RetryBudgetSettings};
-use toucan_types::{FastHashMap, OrganisationName, Permille, ServiceName, Tokens};
+use toucan_router::RetryBudget;
+use toucan_types::{FastHashMap, OrganisationName, ServiceName, Tokens};
 
 use crate::{
-    budget::Wallet, config::FleetConfig, peers::Members, placement::TargetTable, settings::Bounds,
+    budget::Wallet,
+    config::FleetConfig,
+    peers::Members,
+    placement::TargetTable,
+    retries::{first_retries, retry_share},
+    settings::Bounds,
 };
 
 /// Time for which calls are still accepted after the process was told to stop. The balancer notices
 /// a VM that is not ready within two of its questions, which it asks once a second.
 pub(crate) const ACCEPT_MS: u64 = 2_500;
-/// Part of the fleet's allowance of retries that its VMs use together.
-///
-/// The rest covers VMs that start while others still count with fewer.
-const RETRY_ALLOWANCE_PART: f64 = 0.6;
 
 /// Everything that decisions are made from; no sockets, no clock.
 #[derive(Debug, Default)]
@@ -144,22 +145,12 @@
         bounds: &Bounds,
         now_ms: u64,
     ) -> &mut RetryBudget {
-        let settings = retry_settings(bounds, self.members.processes(now_ms));
+        let processes = self.members.processes(now_ms);
         let budget = self
             .retries
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(settings, now_ms));
-        budget.set_settings(settings);
+            .or_insert_with(|| first_retries(bounds, processes, now_ms));
+        budget.set_settings(retry_share(bounds, processes));
         budget
     }
 }
-
-/// This VM's share of the fleet's allowance of retries.
-fn retry_settings(bounds: &Bounds, processes: u32) -> RetryBudgetSettings {
-    let share = f64::from(bounds.retry_slack) * RETRY_ALLOWANCE_PART / f64::from(processes.max(1));
-    RetryBudgetSettings {
-        per_success: Permille((bounds.retry_ratio * RETRY_ALLOWANCE_PART * 1_000.0) as u32),
-        per_s: 0,
-        most_retries: share as u32,
-    }
-}
--- a/crates/toucan_gateway/src/peers/mod.rs
+++ b/crates/toucan_gateway/src/peers/mod.rs
@@ -9,5 +9,4 @@
 
 pub use datagram::{Datagram, DatagramError, LoanId, PeerMessage, TargetCalls};
 pub use lending::{Lending, loan_size};
-pub use member::MemberEntry;
-pub(crate) use member::Members;
+pub use member::{Member, MemberEntry, Members};
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -14,7 +14,7 @@
     Gateway, Platform, Refusal,
     config::{RouteKind, TargetEntry},
     placement::{CallEnd, ChoiceRequest, ChoiceSettings, choose_target, overload_return_ms},
-    retries::{NextStep, SendFailure, next_step},
+    retries::{NextStep, SendFailure, connection_share, next_step},
 };
 
 use super::{
@@ -26,10 +26,6 @@
     reserve::reserve_tokens,
 };
 
-/// Part of a target's connections that all VMs use together; the rest is for VMs that start.
-const CONNECTION_PART: f64 = 0.7;
-/// Least connections that a VM may open to a target.
-const LEAST_CONNECTIONS: u32 = 2;
 /// Connections per target where the configuration sets no limit.
 const DEFAULT_CONNECTIONS: u32 = 256;
 
@@ -242,9 +238,7 @@
         .service_settings()
         .and_then(|service| service.most_connections)
         .unwrap_or(DEFAULT_CONNECTIONS);
-    let processes = gateway.core.borrow().members.processes(now_ms).max(1);
-    let share = f64::from(limit) * CONNECTION_PART / f64::from(processes);
-    (share as u32).max(LEAST_CONNECTIONS)
+    connection_share(limit, gateway.core.borrow().members.processes(now_ms))
 }
 
 /// Sends a call to one target and reads the answer, or the first bytes of a stream.
--- a/crates/toucan_router/src/retry_budget.rs
+++ b/crates/toucan_router/src/retry_budget.rs
@@ -54,9 +54,16 @@
     /// A full bucket.
     #[must_use]
     pub fn new(settings: RetryBudgetSettings, now_ms: u64) -> Self {
+        Self::with_saved(settings, settings.most_retries, now_ms)
+    }
+
+    /// A bucket with some retries saved up.
+    #[must_use]
+    pub fn with_saved(settings: RetryBudgetSettings, saved: u32, now_ms: u64) -> Self {
+        let saved = saved.min(settings.most_retries);
         Self {
             settings,
-            parts: u64::from(settings.most_retries) * PARTS_PER_RETRY,
+            parts: u64::from(saved) * PARTS_PER_RETRY,
             filled_at_ms: now_ms,
         }
     }
