Ask for a quiet stream again and again; do not blame a stop for a silenced caller

Nothing can reach a caller whose connection is silent. Found on the way: a quiet engine stream was asked for over a second connection once only; if that one was refused or silent too, the stream waited for its whole 10 s though the engine could be reached. It is now asked for anew after each quiet spell; test with both ways to fail, red before.

Change to a check: GracefulStop leaves out an attempt during which all connections went silent; the history records those times. Strict for all others: doctored histories with a silence before and after the attempt are still breaches.

--- a/crates/toucan_bench/src/fleet/actions.rs
+++ b/crates/toucan_bench/src/fleet/actions.rs
@@ -54,7 +54,10 @@
                 let engine = standins.engines.get(index);
                 engine.into_iter().for_each(|engine| engine.set_dead(dead));
             }
-            Action::SilenceConnections => platform.silence_all_connections(),
+            Action::SilenceConnections => {
+                self.note_silence(now_ms());
+                platform.silence_all_connections();
+            }
             Action::TopUp(index, tokens) => {
                 if let Some(caller) = self.document.callers.get(index) {
                     self.operator.top_up(&caller.budget, tokens);
--- a/crates/toucan_bench/src/fleet/running_fleet.rs
+++ b/crates/toucan_bench/src/fleet/running_fleet.rs
@@ -34,6 +34,7 @@
     watch: ConfigurationWatch,
     planned_stops: Arc<Mutex<Vec<(String, u64)>>>,
     heals_ms: Arc<Mutex<Vec<u64>>>,
+    silences_ms: Arc<Mutex<Vec<u64>>>,
     start: Arc<Mutex<Usage>>,
 }
 
@@ -69,6 +70,7 @@
             operator,
             planned_stops: Arc::default(),
             heals_ms: Arc::default(),
+            silences_ms: Arc::default(),
             start: Arc::default(),
         };
         fleet.wait_ready().await?;
@@ -123,6 +125,7 @@
         }
         self.read_records(&mut history);
         history.heals_ms = lock(&self.heals_ms).clone();
+        history.silences_ms = lock(&self.silences_ms).clone();
         history.planned_stops = lock(&self.planned_stops).clone();
         history.configuration_samples = self.watch.samples();
         history.runs = self.runs();
@@ -142,6 +145,10 @@
         lock(&self.heals_ms).push(at_ms);
     }
 
+    pub(crate) fn note_silence(&self, at_ms: u64) {
+        lock(&self.silences_ms).push(at_ms);
+    }
+
     fn read_records(&self, history: &mut History) {
         history.records.clear();
         history.releases.clear();
--- a/crates/toucan_bench/src/history/mod.rs
+++ b/crates/toucan_bench/src/history/mod.rs
@@ -40,6 +40,8 @@
     /// Times at which a link was healed or a target spoke again; what was sent before may arrive
     /// then.
     pub heals_ms: Vec<u64>,
+    /// Times at which all connections went silent for good, those of callers to nodes too.
+    pub silences_ms: Vec<u64>,
     /// Time from the first to the last request.
     pub duration_ms: u64,
     /// Number of nodes.
--- a/crates/toucan_bench/tests/doctored_histories.rs
+++ b/crates/toucan_bench/tests/doctored_histories.rs
@@ -275,6 +275,17 @@
     assert_eq!(broken, [promise], "{verdict}");
 }
 
+/// The attempt that the planned stop cuts off begins at 130 or sooner and ends at 140 or later.
+#[test_case(139, true; "silenced while the attempt was open")]
+#[test_case(0, false; "silenced before it began")]
+#[test_case(900, false; "silenced after it had ended")]
+fn a_silenced_connection_is_not_cut_off_by_a_stop(silenced_ms: u64, is_ok: bool) {
+    let mut history = honest();
+    cut_off_by_a_planned_stop(&mut history);
+    history.silences_ms.push(silenced_ms);
+    assert_eq!(check(&history).is_ok(), is_ok);
+}
+
 #[test]
 fn work_that_a_healing_let_through_was_sent_before_it() {
     let mut history = honest();
--- a/crates/toucan_platform/src/standby.rs
+++ b/crates/toucan_platform/src/standby.rs
@@ -13,7 +13,7 @@
     Opening(Opening),
     /// Is open.
     Open(Box<TokenReader>),
-    /// Was tried and gave nothing; not tried again until the stream makes progress.
+    /// Was tried and gave nothing.
     Failed,
 }
 
--- a/crates/toucan_platform/src/token_stream.rs
+++ b/crates/toucan_platform/src/token_stream.rs
@@ -13,9 +13,10 @@
 
 /// The tokens of one request, in order, whichever connection brings them.
 ///
-/// After a while without an event the stream is also asked for over a new connection. Whichever
-/// brings the next event is kept and the other closed: a connection that went silent is left, and
-/// one to a slow engine is not.
+/// After a while without an event the stream is also asked for over a second connection, and after
+/// each further while over a fresh one in its place: the second may have been refused or gone
+/// silent like the first. Whichever brings the next event is kept and the other closed: a
+/// connection that went silent is left, and one to a slow engine is not.
 pub struct TokenStream {
     target: Arc<HttpTarget>,
     request: RequestId,
@@ -25,6 +26,8 @@
     first: Option<EngineEvent>,
     next_token: u64,
     last_event_at: Instant,
+    /// When the second connection was last opened, or the last event came.
+    tried_at: Instant,
 }
 
 /// What happened first.
@@ -49,6 +52,7 @@
             first: None,
             next_token,
             last_event_at: Instant::now(),
+            tried_at: Instant::now(),
         }
     }
 
@@ -77,7 +81,7 @@
             return Ok(event);
         }
         loop {
-            let deadline = self.last_event_at + self.patience();
+            let deadline = self.given_up_at().min(self.next_try_at());
             let step = tokio::select! {
                 biased;
                 event = self.reader.read() => Step::Main(event),
@@ -109,18 +113,20 @@
         }
     }
 
-    fn patience(&self) -> Duration {
-        let limits = self.target.settings();
-        let patience_ms = match self.standby {
-            Standby::None => limits.quiet_ms.min(limits.progress_ms),
-            Standby::Opening(_) | Standby::Open(_) | Standby::Failed => limits.progress_ms,
-        };
-        Duration::from_millis(patience_ms)
+    /// When the stream is given up, unless an event comes.
+    fn given_up_at(&self) -> Instant {
+        self.last_event_at + Duration::from_millis(self.target.settings().progress_ms)
+    }
+
+    /// When a second connection is opened, unless an event comes.
+    fn next_try_at(&self) -> Instant {
+        self.tried_at + Duration::from_millis(self.target.settings().quiet_ms)
     }
 
     /// Notes progress and checks the order; [`None`] for a token that was already given.
     fn accept(&mut self, event: EngineEvent) -> Result<Option<EngineEvent>, StreamError> {
         self.last_event_at = Instant::now();
+        self.tried_at = self.last_event_at;
         if !matches!(self.standby, Standby::None) {
             self.standby = Standby::None;
         }
@@ -160,15 +166,19 @@
     }
 
     fn open_standby(&mut self) -> Result<(), StreamError> {
-        if !matches!(self.standby, Standby::None) {
+        let now = Instant::now();
+        if now >= self.given_up_at() {
             let next_token = self.next_token;
             return Err(StreamError::Silent { next_token });
         }
+        self.tried_at = now;
         let target = Arc::clone(&self.target);
         let request = self.request.clone();
         let from_token = self.next_token;
-        // A pooled connection may have gone silent like the one that is in doubt.
-        target.abandon_connections();
+        if !matches!(self.standby, Standby::Open(_)) {
+            // A pooled connection may have gone silent like the one that is in doubt.
+            target.abandon_connections();
+        }
         self.standby =
             Standby::open(async move { open_stream(&target, &request, from_token).await.ok() });
         Ok(())
--- a/crates/toucan_platform/tests/fake_server/mod.rs
+++ b/crates/toucan_platform/tests/fake_server/mod.rs
@@ -23,6 +23,7 @@
 }
 
 /// One step of an answer.
+#[derive(Clone)]
 pub enum Act {
     Send(Vec<u8>),
     WaitMs(u64),
--- a/crates/toucan_platform/tests/streams.rs
+++ b/crates/toucan_platform/tests/streams.rs
@@ -46,6 +46,11 @@
     range.map(token)
 }
 
+fn with(mut acts: Vec<Act>, act: Act) -> Vec<Act> {
+    acts.push(act);
+    acts
+}
+
 /// Reads to the end; gives the indices of the tokens, whether the usage came, and the end.
 async fn read(mut stream: TokenStream) -> (Vec<u64>, bool, Result<(), StreamError>) {
     let mut indices = Vec::new();
@@ -105,6 +110,27 @@
     assert!(resumes[0].head.starts_with("GET /v1/streams/r%2F1%3Fx?"));
 }
 
+/// The second connection fails too, as it does while the way to the engine is cut.
+#[test_case(Act::Close; "it ends")]
+#[test_case(Act::GoSilent; "it goes silent")]
+#[tokio::test]
+async fn a_stream_is_asked_for_again_until_a_connection_brings_it(second: Act) {
+    let server = FakeServer::start(move |request| {
+        if !is_resume(request) {
+            let start = tokens(0..10).chain([Act::GoSilent]);
+            return start.fold(vec![stream_head()], with);
+        }
+        if request.connection == 1 {
+            return vec![second.clone()];
+        }
+        let rest = tokens(resumed_from(request)..40).chain([stream_end(40), Act::Close]);
+        rest.fold(vec![stream_head()], with)
+    })
+    .await;
+    let stream = client().start(server.address, call()).await.unwrap();
+    assert_eq!(read(stream).await, whole(40));
+}
+
 #[tokio::test]
 async fn a_connection_silent_from_its_start_is_left_and_the_stream_found() {
     let server = FakeServer::start(|request| {
