Do not end an answer whose bill died with the node

An answer's end waits until the bill is known outside the VM; when the admission duty ended, its reply was dropped, and a dropped reply was taken for nothing to be billed, so the end was sent. In a real kill the window is that between two threads; in a stop that runs out of time it is as long as the stop. Ruled out: the wait's limit of 3 s (the answer's tokens were whole about 1.6 s before), a lost record (no gap in any incarnation's sequence), the release (what the dead node held stays held). Change: the admission duty answers all that it takes, also for tickets that are gone; a dropped reply now means that the node has ended, and the caller gets an error that promises nothing.

--- a/crates/toucan_node/src/admission/settle.rs
+++ b/crates/toucan_node/src/admission/settle.rs
@@ -18,6 +18,8 @@
         now_ms: u64,
     ) {
         let Some(running) = self.running.remove(&ticket) else {
+            // Another router has taken it over and bills it.
+            let _unread = outside.send(());
             return;
         };
         if self.by_bill.get(&running.request.bill) == Some(&ticket) {
@@ -48,6 +50,12 @@
             request, reserved, ..
         } = running;
         let Some(shard) = self.wallet_of(&request.budget, reserved.incarnation) else {
+            // Its tokens were counted as spent when the incarnation was released.
+            log::warn!(
+                "bill {bill} of {} is left to the release of its wallet",
+                request.budget
+            );
+            let _unread = outside.send(());
             return;
         };
         match end {
--- a/crates/toucan_node/src/callers/plain_services.rs
+++ b/crates/toucan_node/src/callers/plain_services.rs
@@ -15,7 +15,7 @@
     chat::name_request,
     known_calls::{CallEnd, Earlier, KnownCalls, OpenCall},
     plain_call::{PlainCall, fingerprint, read_call},
-    settling::{admit, finish, put, refuse_unless_ready},
+    settling::{BillWord, admit, finish, node_ended, put, refuse_unless_ready},
 };
 use crate::{
     admission::{AdmissionMessage, NextAttempt, RequestEnd, Ticket},
@@ -131,8 +131,10 @@
         Ok(answer) => format!("status {}, {end:?}", answer.status),
         Err(refusal) => format!("{refusal}, {end:?}"),
     };
-    finish(shared, request, end, detail).await;
-    answer
+    match finish(shared, request, end, detail).await {
+        BillWord::NodeEnded => Err(node_ended()),
+        BillWord::Known | BillWord::NotInTime => answer,
+    }
 }
 
 /// Notes how a claimed call ended: here for retries at this node, in the log for others.
--- a/crates/toucan_node/src/callers/relay.rs
+++ b/crates/toucan_node/src/callers/relay.rs
@@ -9,7 +9,11 @@
 use toucan_router::{AttemptOutcome, Offered, StreamAssembler};
 use toucan_types::{RequestId, Tokens};
 
-use super::{Refusal, RefusalCode, chat_sinks::TokenSink, settling::finish};
+use super::{
+    Refusal, RefusalCode,
+    chat_sinks::TokenSink,
+    settling::{BillWord, finish, node_ended},
+};
 use crate::{
     admission::{AdmissionMessage, NextAttempt, Placement, RequestEnd, Ticket},
     node_shared::{NodeShared, OpenRequest},
@@ -339,11 +343,13 @@
             Relayed::Whole { usage, data } => {
                 let used_tokens = Tokens(usage.total_tokens).min(self.ticket.reserve_tokens);
                 let cached_tokens = Some(usage.cached_tokens);
-                self.finish(RequestEnd::Answered {
+                let end = RequestEnd::Answered {
                     used_tokens,
                     cached_tokens,
-                })
-                .await;
+                };
+                if self.finish(end).await == BillWord::NodeEnded {
+                    return self.refuse(node_ended()).await;
+                }
                 self.begin_if_empty();
                 let _gone = self.sink.finish(usage, data).await;
             }
@@ -399,6 +405,11 @@
             })
             .await;
         }
+        self.refuse(refusal).await;
+    }
+
+    /// Tells the caller that no whole answer comes.
+    async fn refuse(&mut self, refusal: Refusal) {
         match self.begun.take() {
             Some(begun) => {
                 let _unread = begun.send(Err(refusal));
@@ -426,9 +437,9 @@
             .await;
     }
 
-    async fn finish(&self, end: RequestEnd) {
+    async fn finish(&self, end: RequestEnd) -> BillWord {
         let request = (self.ticket.id, self.ticket.bill);
-        finish(&self.shared, request, end, format!("{end:?}")).await;
+        finish(&self.shared, request, end, format!("{end:?}")).await
     }
 
     fn begin_if_empty(&mut self) {
--- a/crates/toucan_node/src/callers/settling.rs
+++ b/crates/toucan_node/src/callers/settling.rs
@@ -115,13 +115,24 @@
     }
 }
 
+/// What became of a bill that was waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BillWord {
+    /// It is known outside this VM, or there is none.
+    Known,
+    /// It is written here and will be known later.
+    NotInTime,
+    /// The node has ended before the bill was known; the caller must not be told of success.
+    NodeEnded,
+}
+
 /// Ends a request, waits until its bill is known outside this VM, and notes both in the trail.
 pub(super) async fn finish(
     shared: &NodeShared,
     (ticket, bill): (TicketId, BillId),
     end: RequestEnd,
     detail: impl Into<String>,
-) {
+) -> BillWord {
     let note = |step: &str, detail: String| {
         let now_ms = shared.clock.now_ms();
         shared.trail.note(bill, step, detail, now_ms);
@@ -135,12 +146,21 @@
     };
     put(&shared.rings.admission, message).await;
     let patience = Duration::from_millis(BILL_PATIENCE_MS);
-    // A dropped reply means that the request was no longer there to be billed.
-    let known = if let Ok(Ok(())) = tokio::time::timeout(patience, known).await {
-        "known outside this VM"
-    } else {
-        metrics::counter!("toucan_unconfirmed_bills_total").increment(1);
-        "not known outside this VM in time"
+    let (word, text) = match tokio::time::timeout(patience, known).await {
+        Ok(Ok(())) => (BillWord::Known, "known outside this VM"),
+        // The admission duty answers all that it takes, so it has ended.
+        Ok(Err(_dropped)) => (BillWord::NodeEnded, "the node ended before it was known"),
+        Err(_elapsed) => (BillWord::NotInTime, "not known outside this VM in time"),
     };
-    note("bill", known.to_owned());
+    if word != BillWord::Known {
+        metrics::counter!("toucan_unconfirmed_bills_total").increment(1);
+    }
+    note("bill", text.to_owned());
+    word
+}
+
+/// What a caller is told whose request was answered by a node that ended before it was billed.
+pub(super) fn node_ended() -> Refusal {
+    let message = "this node ended before the bill was known elsewhere";
+    Refusal::new(RefusalCode::OutcomeUnknown, message).may_have_run()
 }
