--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -76,11 +76,12 @@
         if gateway.core.borrow().stopping_since_ms.is_none() {
             gateway.tokens_changed.notify_waiters();
         }
-        // Whether the pause passed or a call asked for tokens, the next step is the same.
-        let _elapsed = timeout(pause, gateway.draw_soon.notified()).await;
         if health.is_lost() {
             // Calls that wait must not make a store that is away get more calls.
             sleep(pause).await;
+        } else {
+            // Whether the pause passed or a call asked for tokens, the next step is the same.
+            let _elapsed = timeout(pause, gateway.draw_soon.notified()).await;
         }
     }
 }
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -14,7 +14,7 @@
     Gateway, Platform, Refusal,
     config::{RouteKind, TargetEntry},
     placement::{CallEnd, ChoiceRequest, ChoiceSettings, choose_target, overload_return_ms},
-    retries::{NextStep, SendFailure, connection_share, next_step},
+    retries::{CallProgress, NextStep, SendFailure, connection_share, next_step},
 };
 
 use super::{
@@ -128,10 +128,12 @@
             return Err((refusal, "deadline reached"));
         }
         let Some(chosen) = choose(gateway, call, now_ms) else {
-            let refusal = if call.progress.may_have_run {
-                Refusal::TargetFailed
-            } else {
-                Refusal::NoTarget
+            let refusal = match call.progress {
+                CallProgress {
+                    may_have_run: true, ..
+                } => Refusal::TargetFailed,
+                CallProgress { sends: 0, .. } => Refusal::NoTarget,
+                CallProgress { .. } => Refusal::TargetFull,
             };
             return Err((refusal, "no target is left"));
         };
--- a/crates/toucanctl/src/commands/explain.rs
+++ b/crates/toucanctl/src/commands/explain.rs
@@ -6,15 +6,22 @@
 use crate::cli_error::CliError;
 use crate::client::{OperatorsClient, path_segment};
 use crate::commands::arguments::{finish, word};
+use crate::commands::explain_log::explain_from_logs;
 use crate::options::Options;
 use crate::table::{TextTable, grouped, utc};
 use crate::{Exit, Report};
 
-/// Runs `toucanctl explain`.
+/// Runs `toucanctl explain`: from the memory of a node, or from the logs of gateways.
 pub(crate) async fn explain(
     mut arguments: Arguments,
     options: &Options,
 ) -> Result<Report, CliError> {
+    let logs: Vec<String> = arguments.values_from_str("--log")?;
+    if !logs.is_empty() {
+        let request = word(&mut arguments, "REQUEST-ID")?;
+        finish(arguments)?;
+        return explain_from_logs(&request, &logs, options);
+    }
     let organisation: String = arguments.value_from_str("--organisation")?;
     let request = word(&mut arguments, "REQUEST-ID")?;
     finish(arguments)?;
--- /dev/null
+++ b/crates/toucanctl/src/commands/explain_log.rs
@@ -0,0 +1,141 @@
+//! `toucanctl explain` from the logs of gateways.
+
+use std::fmt::Write as _;
+
+use crate::cli_error::CliError;
+use crate::gateway_log::{GatewayLog, LogEvent};
+use crate::options::{Options, read_file};
+use crate::{Exit, Report};
+
+/// Time before the first line of a request in which other lines may explain it, in milliseconds.
+const BEFORE_MS: i64 = 5_000;
+
+/// What the on-call page says of an outcome, in a line.
+const ADVICE: &[(&str, &str)] = &[
+    (
+        "budget_spent",
+        "the budget is used up; the organisation needs a top-up",
+    ),
+    (
+        "budget_in_use",
+        "the store had nothing left to grant and no other gateway could lend: tokens are in hand \
+         elsewhere or were lost with processes that died",
+    ),
+    (
+        "budget_not_reachable",
+        "no tokens came in time; `read_ms_ago` of `tokens are lacking` is the age of the store's word",
+    ),
+    (
+        "broken_off",
+        "the target broke off, and the answer could not go on elsewhere",
+    ),
+    (
+        "deadline_reached",
+        "the route's time limit or the caller's patience ended",
+    ),
+    ("caller_left", "the caller closed its connection"),
+    (
+        "target_full",
+        "each target that was asked refused without running the call",
+    ),
+    (
+        "no_target",
+        "no target could be connected to, or all have as many calls as they may have",
+    ),
+    (
+        "overloaded",
+        "the best engine was too far behind; the caller was told when to come back",
+    ),
+    (
+        "target_failed",
+        "a target failed and may have run the call, which may not be repeated",
+    ),
+    (
+        "target_silent",
+        "a target did not answer in time and may have run the call",
+    ),
+    ("not_configured", "the gateway had no configuration yet"),
+    ("stopping", "the gateway was being stopped"),
+    (
+        "unknown_key",
+        "no configuration in force here knows the key",
+    ),
+    ("no_route", "no configuration in force here has the route"),
+];
+
+/// Shows what the logs say of one request, with the lines that explain it.
+pub(crate) fn explain_from_logs(
+    request: &str,
+    files: &[String],
+    options: &Options,
+) -> Result<Report, CliError> {
+    let mut log = GatewayLog::default();
+    for file in files {
+        log.read(&read_file(file)?);
+    }
+    let own: Vec<&LogEvent> = log.of_request(request);
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        let message = format!(
+            "no line of request {request} among {} lines ({} could not be read)",
+            log.events().len(),
+            log.unreadable()
+        );
+        return Err(CliError::NotFound(message));
+    };
+    let (from_ms, to_ms) = (first.at_ms() - BEFORE_MS, last.at_ms());
+    let shown: Vec<&LogEvent> = log
+        .events()
+        .iter()
+        .filter(|event| (from_ms..=to_ms).contains(&event.at_ms()))
+        .filter(|event| event.is_of(request) || explains(event, &own))
+        .collect();
+    if options.is_json {
+        return Ok(Report::json(&shown, Exit::Done));
+    }
+    let mut out = format!("request {request}: {}\n\n", conclusion(&own));
+    for event in shown {
+        let _always_fits = writeln!(out, "{event}");
+    }
+    if log.unreadable() > 0 {
+        let _always_fits = writeln!(out, "\n{} lines could not be read", log.unreadable());
+    }
+    Ok(Report::done(out))
+}
+
+/// Whether a line of another subject belongs to the story of a request.
+///
+/// Tokens of its organisation that were lacking or lost, trouble of the targets that it was sent to,
+/// and the store and the configuration as a whole.
+fn explains(event: &LogEvent, own: &[&LogEvent]) -> bool {
+    match event.subject() {
+        "store" | "configuration" | "process" => true,
+        "budget" => {
+            let is_telling = matches!(
+                event.message(),
+                "tokens are lacking" | "what a former process of this VM held counts as spent"
+            );
+            is_telling
+                && own.iter().any(|line| {
+                    let organisation = line.attribute("organisation");
+                    organisation.is_some() && organisation == event.attribute("organisation")
+                })
+        }
+        "target" => event
+            .attribute("name")
+            .is_some_and(|name| own.iter().any(|line| line.names_target(name))),
+        _ => false,
+    }
+}
+
+/// The last outcome of a request, and what it means.
+fn conclusion(own: &[&LogEvent]) -> String {
+    let outcome = own.iter().rev().find_map(|line| line.attribute("outcome"));
+    let Some(outcome) = outcome else {
+        return "no line tells how it ended".to_owned();
+    };
+    let advice = ADVICE.iter().find(|(name, _advice)| *name == outcome);
+    match advice {
+        Some((_name, advice)) => format!("{outcome}: {advice}"),
+        None => outcome.to_owned(),
+    }
+}
--- a/crates/toucanctl/src/commands/mod.rs
+++ b/crates/toucanctl/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod document_files;
 mod edit;
 mod explain;
+mod explain_log;
 mod fleet;
 mod key;
 mod model;
--- a/crates/toucanctl/src/help.rs
+++ b/crates/toucanctl/src/help.rs
@@ -70,6 +70,10 @@
         "explain REQUEST-ID --organisation NAME",
         "Show what happened to one request and why.",
     ),
+    (
+        "explain REQUEST-ID --log FILE...",
+        "The same from the logs of gateways; `-` is the standard input.",
+    ),
     (
         "demo [--seconds S] [--json FILE] [--seed N]",
         "Run a small fleet with stand-ins under load and a partition, and check every promise.",
--- a/crates/toucanctl/src/lib.rs
+++ b/crates/toucanctl/src/lib.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod environment;
 mod exit_code;
+mod gateway_log;
 mod help;
 mod options;
 mod report;
--- a/crates/toucanctl/src/table.rs
+++ b/crates/toucanctl/src/table.rs
@@ -1,5 +1,7 @@
 //! Tables for people.
 
+use chrono::DateTime;
+
 /// Cells in columns as wide as their widest cell; numbers are aligned to the right.
 ///
 /// Cells are never cut, so that a table in a pipe holds everything.
@@ -65,36 +67,15 @@
     grouped
 }
 
-/// Seconds in a day.
-const DAY_S: u64 = 86_400;
-
 /// A time as date and time of day in UTC.
 pub(crate) fn utc(at_ms: u64) -> String {
-    let seconds = at_ms / 1000;
-    let (days, rest) = (seconds / DAY_S, seconds % DAY_S);
-    let (year, month, day) = date_of(days);
-    let (hour, minute, second) = (rest / 3600, rest / 60 % 60, rest % 60);
-    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}")
-}
-
-/// Date of a number of days since 1970, by the calendar in use since 1582.
-fn date_of(days: u64) -> (u64, u64, u64) {
-    // Years are counted from March, so that a leap day ends its year.
-    let shifted = days + 719_468;
-    let era = shifted / 146_097;
-    let day_of_era = shifted % 146_097;
-    let year_of_era =
-        (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
-    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
-    let shifted_month = (5 * day_of_year + 2) / 153;
-    let day = day_of_year - (153 * shifted_month + 2) / 5 + 1;
-    let month = if shifted_month < 10 {
-        shifted_month + 3
-    } else {
-        shifted_month - 9
-    };
-    let year = year_of_era + era * 400 + u64::from(month <= 2);
-    (year, month, day)
+    let at = i64::try_from(at_ms)
+        .ok()
+        .and_then(DateTime::from_timestamp_millis);
+    at.map_or_else(
+        || format!("{at_ms} ms"),
+        |at| at.format("%Y-%m-%d %H:%M:%S").to_string(),
+    )
 }
 
 /// Colours the lines of a unified diff.
--- a/crates/toucanctl/tests/offline.rs
+++ b/crates/toucanctl/tests/offline.rs
@@ -103,3 +103,57 @@
         assert!(help.contains(&format!("{code} ")));
     }
 }
+
+/// A line as a gateway logs it.
+fn log_line(second: u32, subject: &str, message: &str, attributes: &str) -> String {
+    format!(
+        r#"{{"time":"2026-12-04T02:00:{second:02}.000000000+00:00","level":"INFO","target":"{subject}","message":"{message}","attributes":{{{attributes}}}}}"#
+    )
+}
+
+#[test]
+fn a_request_is_explained_from_logs_of_several_vms() {
+    let refused = r#""id":"r-1","organisation":"o","outcome":"budget_in_use""#;
+    let first = [
+        log_line(1, "budget", "tokens are lacking", r#""organisation":"o""#),
+        log_line(
+            1,
+            "budget",
+            "tokens are lacking",
+            r#""organisation":"other""#,
+        ),
+        log_line(2, "call", "call refused", refused),
+        log_line(40, "store", "the store does not answer", ""),
+        "cut off {".to_owned(),
+    ];
+    let second = [log_line(
+        0,
+        "configuration",
+        "configuration in force",
+        r#""version":"7""#,
+    )];
+    let first = file("first.log", &first.join("\n"));
+    let second = file("second.log", &second.join("\n"));
+    let report = ctl(&["explain", "r-1", "--log", &first, "--log", &second]);
+    assert_eq!(report.code, Exit::Done, "{report:?}");
+    let lines: Vec<&str> = report.out.lines().collect();
+    assert!(
+        lines[0].starts_with("request r-1: budget_in_use: "),
+        "{lines:?}"
+    );
+    assert!(
+        lines[2].contains("configuration in force version=7"),
+        "{lines:?}"
+    );
+    assert!(
+        lines[3].ends_with("tokens are lacking organisation=o"),
+        "{lines:?}"
+    );
+    assert!(lines[4].contains("call refused id=r-1"), "{lines:?}");
+    assert_eq!(lines.last(), Some(&"1 lines could not be read"));
+    assert_eq!(lines.len(), 7, "{lines:?}");
+    assert_eq!(
+        ctl(&["explain", "r-2", "--log", &first]).code,
+        Exit::NotFound
+    );
+}
