Part the gateway's state from its start, and sending from serving

Four import circles of the gateway's crate go: gateway.rs knew all duties, which know it; relay.rs and serve_call.rs knew each other; key_ring.rs and organisation.rs too. launch.rs starts and stops the parts, gateway.rs is state and what the parts ask of it; serving/send.rs sends a call to targets until one answers, serve_call.rs is the way of a call (393 lines become 325 and 83). Code is moved, not changed; clippy, documentation and the tests of both crates are green.

--- a/crates/toucan_gateway/src/config/mod.rs
+++ b/crates/toucan_gateway/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 mod caller_limits;
 mod fleet_config;
+mod key_digest;
 mod key_ring;
 mod organisation;
 mod route;
@@ -11,7 +12,8 @@
 
 pub use caller_limits::CallerLimits;
 pub use fleet_config::FleetConfig;
-pub use key_ring::{KeyDigest, KeyRing};
+pub use key_digest::KeyDigest;
+pub use key_ring::KeyRing;
 pub use organisation::Organisation;
 pub use route::{Route, RouteKind, WeightedService};
 pub use route_table::RouteTable;
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod read_call;
 mod relay;
 mod reserve;
+mod send;
 mod serve_call;
 mod target_pool;
 
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -13,7 +13,7 @@
 use super::{
     answer::IncompleteAnswer,
     call::{Call, CallAccount},
-    serve_call::{Answered, EventsAnswer, next_bytes, send_until_answered, take_retry},
+    send::{Answered, EventsAnswer, next_bytes, send_until_answered, take_retry},
 };
 
 /// How the stream of one target ended.
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -0,0 +1,325 @@
+//! Sends a call to targets until one answers.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use toucan_types::{RequestId, ServiceName};
+
+use crate::{
+    Gateway, Platform, Refusal,
+    config::{RouteKind, TargetEntry},
+    placement::{CallEnd, ChoiceRequest, ChoiceSettings, choose_target, overload_return_ms},
+    retries::{CallProgress, NextStep, SendFailure, connection_share, next_step},
+};
+
+use super::{
+    call::{Call, CallAccount, TargetVisit},
+    exchange::{Exchange, OpenAnswer, open_exchange, remove_connection_headers},
+    read_call::hash_of,
+};
+
+/// Connections per target where the configuration sets no limit.
+const DEFAULT_CONNECTIONS: u32 = 256;
+
+/// A usable answer of a target.
+pub(crate) enum Answered<P: Platform> {
+    /// Read to its end.
+    Whole(Box<WholeAnswer>),
+    /// A stream of which the first bytes were read.
+    Events(Box<EventsAnswer<P>>),
+}
+
+/// An answer that was read to its end.
+pub(crate) struct WholeAnswer {
+    /// Status of the target.
+    pub(crate) status: StatusCode,
+    /// Headers of the target, without those of its connection.
+    pub(crate) headers: http::HeaderMap,
+    /// Whole body.
+    pub(crate) body: Bytes,
+}
+
+/// A stream of events whose first bytes have arrived.
+pub(crate) struct EventsAnswer<P: Platform> {
+    /// Head, and the body that is still to come.
+    pub(crate) answer: OpenAnswer,
+    /// First bytes of the body.
+    pub(crate) first: Bytes,
+    /// The call at the target.
+    pub(crate) visit: TargetVisit<P>,
+}
+
+/// Why the gateway answers a call itself, and what it was decided from.
+pub(crate) type Refused = (Refusal, &'static str);
+
+/// Sends a call to targets until one answers or the rules end it.
+///
+/// `last_event_id` is that of the last event that the caller has, if a stream goes on.
+pub(crate) async fn send_until_answered<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &mut Call,
+    account: &mut CallAccount<P>,
+    last_event_id: Option<&str>,
+) -> Result<Answered<P>, Refused> {
+    loop {
+        let now_ms = gateway.now_ms();
+        if call.left_ms(now_ms) == 0 {
+            let refusal = if call.progress.may_have_run {
+                Refusal::TargetSilent
+            } else {
+                Refusal::TooLate
+            };
+            return Err((refusal, "deadline reached"));
+        }
+        let Some(chosen) = choose(gateway, call, now_ms) else {
+            let refusal = match call.progress {
+                CallProgress {
+                    may_have_run: true, ..
+                } => Refusal::TargetFailed,
+                CallProgress { sends: 0, .. } => Refusal::NoTarget,
+                CallProgress { .. } => Refusal::TargetFull,
+            };
+            return Err((refusal, "no target is left"));
+        };
+        account.log.expected_ms = chosen.expected_ms;
+        if let Some(return_ms) = chosen.return_ms
+            && call.progress.sends == 0
+        {
+            return Err((Refusal::Overloaded { return_ms }, "the engines are behind"));
+        }
+        let target = chosen.entry;
+        let failure = match send_once(gateway, call, account, &target, last_event_id).await {
+            Ok(answered) => return Ok(answered),
+            Err(failure) => failure,
+        };
+        call.note_failure(&target.name, failure);
+        let now_ms = gateway.now_ms();
+        let left_ms = call.left_ms(now_ms);
+        let route = &call.route;
+        let step = next_step(
+            failure,
+            call.progress,
+            route.kind,
+            route.most_targets,
+            left_ms,
+        );
+        log_failure(&call.id, &target, failure, step, left_ms);
+        match step {
+            NextStep::TryUnsent => {}
+            NextStep::SendAgainOr(refusal) => {
+                if !take_retry(gateway, &call.service, now_ms) {
+                    return Err((refusal, "no retry is left in the allowance"));
+                }
+            }
+            NextStep::Refuse(refusal) => return Err((refusal, "the target failed the call")),
+        }
+    }
+}
+
+/// Takes one retry from the allowance of a service; false if there is none.
+pub(crate) fn take_retry<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    service: &ServiceName,
+    now_ms: u64,
+) -> bool {
+    let bounds = &gateway.bounds();
+    gateway
+        .core
+        .borrow_mut()
+        .take_retry(service, bounds, now_ms)
+}
+
+fn log_failure(
+    id: &RequestId,
+    target: &TargetEntry,
+    failure: SendFailure,
+    step: NextStep,
+    left_ms: u64,
+) {
+    metrics::counter!("toucan_failed_sends_total").increment(1);
+    log::info!(
+        target: "call",
+        id = id.as_str(),
+        name = target.name.as_str(),
+        failure:? = failure,
+        step:? = step,
+        left_ms = left_ms;
+        "a target failed the call"
+    );
+}
+
+fn choose<P: Platform>(gateway: &Rc<Gateway<P>>, call: &Call, now_ms: u64) -> Option<Chosen> {
+    let core = gateway.core.borrow();
+    let request = ChoiceRequest {
+        engine: call.service_settings().and_then(|service| service.engine),
+        parts: &call.head.prompt_parts,
+        data_centre: &gateway.settings.data_centre,
+        tried: &call.tried,
+        most_in_flight: most_connections(gateway, call, now_ms),
+        draw: hash_of(&call.id),
+    };
+    let settings = ChoiceSettings::default();
+    let chosen = choose_target(&request, &call.service, &core.targets, &settings, now_ms)?;
+    Some(Chosen {
+        entry: Rc::clone(&chosen.target.entry),
+        expected_ms: chosen.first_event_ms as u64,
+        return_ms: request
+            .engine
+            .and_then(|_engine| overload_return_ms(chosen.backlog_ms, call.route.goal_ms)),
+    })
+}
+
+/// The target for a call.
+struct Chosen {
+    entry: Rc<TargetEntry>,
+    /// Expected time to the first event.
+    expected_ms: u64,
+    /// Time after which the call may come back, if the target is too far behind.
+    return_ms: Option<u64>,
+}
+
+/// Connections that this VM may open to one target of the call's service.
+fn most_connections<P: Platform>(gateway: &Rc<Gateway<P>>, call: &Call, now_ms: u64) -> u32 {
+    let limit = call
+        .service_settings()
+        .and_then(|service| service.most_connections)
+        .unwrap_or(DEFAULT_CONNECTIONS);
+    connection_share(limit, gateway.core.borrow().members.processes(now_ms))
+}
+
+/// Sends a call to one target and reads the answer, or the first bytes of a stream.
+async fn send_once<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &Call,
+    account: &mut CallAccount<P>,
+    target: &Rc<TargetEntry>,
+    last_event_id: Option<&str>,
+) -> Result<Answered<P>, SendFailure> {
+    let now_ms = gateway.now_ms();
+    let mut visit = TargetVisit::begin(Rc::clone(gateway), &target.name, call);
+    account.log.sent_to.push(target.name.to_string());
+    let exchange = Exchange {
+        target,
+        id: &call.id,
+        request: call.request_to(&gateway.platform, target, last_event_id, now_ms),
+        most_connections: most_connections(gateway, call, now_ms),
+        head_timeout: head_timeout(call, now_ms),
+        now_ms,
+    };
+    account.note_may_have_run();
+    let answered = match open_exchange(&gateway.platform, &gateway.pool, exchange).await {
+        Ok(answer) => read_answer(gateway, call, answer, &mut visit).await,
+        Err(failure) => Err(failure),
+    };
+    match answered {
+        Ok(Read::Whole(whole)) => {
+            if whole.status.is_success() {
+                account.note_run();
+            }
+            visit.note_end(if whole.status.is_server_error() {
+                CallEnd::Errored
+            } else {
+                CallEnd::Answered
+            });
+            Ok(Answered::Whole(Box::new(whole)))
+        }
+        Ok(Read::Events(answer, first)) => {
+            account.note_run();
+            account.log.first_event_ms = gateway.now_ms().saturating_sub(now_ms);
+            visit.note_first_event();
+            let events = EventsAnswer {
+                answer,
+                first,
+                visit,
+            };
+            Ok(Answered::Events(Box::new(events)))
+        }
+        Err(failure) => {
+            visit.note_end(failure.call_end());
+            let may_have_run =
+                call.progress.may_have_run || matches!(failure, SendFailure::MayHaveRun(_));
+            if !may_have_run {
+                account.note_not_run();
+            }
+            Err(failure)
+        }
+    }
+}
+
+/// Time that the target gets for the head of its answer.
+///
+/// A call that may be sent to another target does not wait for a silent one until its end.
+fn head_timeout(call: &Call, now_ms: u64) -> Duration {
+    let left_ms = call.left_ms(now_ms);
+    let has_another = call.progress.sends + 1 < call.route.most_targets;
+    let wait_ms = if has_another && call.route.kind == RouteKind::Idempotent {
+        left_ms.min(call.route.goal_ms)
+    } else {
+        left_ms
+    };
+    Duration::from_millis(wait_ms)
+}
+
+enum Read {
+    Whole(WholeAnswer),
+    Events(OpenAnswer, Bytes),
+}
+
+async fn read_answer<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &Call,
+    mut answer: OpenAnswer,
+    visit: &mut TargetVisit<P>,
+) -> Result<Read, SendFailure> {
+    let broken = SendFailure::MayHaveRun(CallEnd::Broken);
+    let silent = SendFailure::MayHaveRun(CallEnd::Silent);
+    if answer.status.is_success() && (!answer.head.is_stamped || answer.head.is_encoded) {
+        log::warn!(target: "call", id = call.id.as_str(), name = visit.target().as_str(); "the answer is not the target's own");
+        return Err(broken);
+    }
+    remove_connection_headers(&mut answer.headers);
+    let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
+    if call.route.kind.is_streaming() && answer.status.is_success() {
+        let first = timeout(left, next_bytes(&mut answer.body)).await;
+        return match first.map_err(|_elapsed| silent)? {
+            Some(Ok(first)) => Ok(Read::Events(answer, first)),
+            Some(Err(_)) | None => Err(broken),
+        };
+    }
+    let collected = timeout(left, (&mut answer.body).collect()).await;
+    let body = collected
+        .map_err(|_elapsed| silent)?
+        .map_err(|_error| broken)?
+        .to_bytes();
+    let whole = WholeAnswer {
+        status: answer.status,
+        headers: std::mem::take(&mut answer.headers),
+        body,
+    };
+    let is_failure = whole.status.is_server_error();
+    let may_try_another = call.route.kind == RouteKind::Idempotent
+        && call.progress.sends + 1 < call.route.most_targets;
+    answer.finish(&gateway.pool, gateway.now_ms());
+    if is_failure && may_try_another && gateway.allows_retry(&call.service) {
+        return Err(SendFailure::MayHaveRun(CallEnd::Errored));
+    }
+    Ok(Read::Whole(whole))
+}
+
+/// The next bytes of a body; [`None`] at its regular end.
+pub(crate) async fn next_bytes(body: &mut Incoming) -> Option<hyper::Result<Bytes>> {
+    loop {
+        match body.frame().await? {
+            Err(error) => return Some(Err(error)),
+            Ok(frame) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Some(Ok(bytes));
+                }
+            }
+        }
+    }
+}
