Spread races for grants by the size of the fleet

Cause: at 67 VMs calls of the store are the largest price. Change: the pause after a lost race is up to 1 ms for each gateway, doubled once (16 ms at 8 VMs as before, 67 to 134 ms at 67).

--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -27,8 +27,10 @@
 const READ_PAUSE: Duration = Duration::from_millis(40);
 /// Tries to append before the next look; each lost race means that another process appended.
 const MOST_RACES: u32 = 8;
-/// Longest pause after a lost race.
-const RACE_PAUSE_MS: u64 = 15;
+/// Longest pause after the first lost race, for each process that may append.
+const RACE_PAUSE_PER_PROCESS_MS: u64 = 1;
+/// Times that the pause doubles with further races; calls wait for the tokens meanwhile.
+const MOST_DOUBLINGS: u32 = 1;
 /// Partitions that budgets are spread over. Part of the format: all processes must agree on it.
 const GRANT_PARTITIONS: u32 = 4;
 
@@ -130,6 +132,12 @@
     Ok(())
 }
 
+/// Longest pause after one more lost race, so that appends spread over the time that all need.
+fn most_race_pause_ms(race: u32, processes: u32) -> u64 {
+    let first_ms = RACE_PAUSE_PER_PROCESS_MS * u64::from(processes.max(1));
+    first_ms << race.min(MOST_DOUBLINGS)
+}
+
 /// The partition of an organisation's budget.
 fn partition_of(organisation: &OrganisationName, count: u32) -> u32 {
     let hash = blake3::hash(organisation.as_str().as_bytes());
@@ -170,7 +178,7 @@
         version: toucan_types::DocumentVersion,
         organisations: &[Rc<Organisation>],
     ) -> Result<(), GrantError> {
-        for _race in 0..MOST_RACES {
+        for race in 0..MOST_RACES {
             let end = self.read_to_end(gateway).await?;
             let records = self.decide(gateway, organisations)?;
             if records.is_empty() {
@@ -198,7 +206,9 @@
                 }
                 Err(AppendError::Moved(_)) => {
                     metrics::counter!("toucan_grant_races_total").increment(1);
-                    let pause_ms = rand::rng().random_range(0..RACE_PAUSE_MS);
+                    let processes = gateway.core.borrow().members.processes(gateway.now_ms());
+                    let most_ms = most_race_pause_ms(race, processes);
+                    let pause_ms = rand::rng().random_range(0..most_ms);
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
                 Err(error) => return Err(GrantError::Append(error)),
