Say once when a target is gone, and end a stop at once without a configuration

Read as a newcomer: the time at which a target is gone stood in two places, the first read after an outage was told by an unnamed comparison, and a gateway told to stop before it had a configuration waited for a pass of the grants that never counted as made. No other behaviour is changed.

--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -106,6 +106,8 @@
 ) -> Result<(), GrantError> {
     let began_ms = gateway.now_ms();
     let Some(config) = gateway.core.borrow().config.clone() else {
+        // Nothing was drawn without a configuration.
+        gateway.wallets_kept_at.send_replace(began_ms);
         return Ok(());
     };
     let count = partitions.len() as u32;
--- a/crates/toucan_gateway/src/placement/lapse.rs
+++ b/crates/toucan_gateway/src/placement/lapse.rs
@@ -45,7 +45,9 @@
         let Some(ended_ms) = self.outage_ended_ms else {
             return now_ms;
         };
-        let part = if now_ms == ended_ms {
+        // The read that ended an outage came at that very time.
+        let is_first_read = now_ms == ended_ms;
+        let part = if is_first_read {
             FIRST_READ_PART
         } else {
             LATER_READ_PART
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -55,13 +55,17 @@
         }
     }
 
+    /// Whether its registration ended and the time for which it was still used is over.
+    #[must_use]
+    pub fn is_gone(&self, now_ms: u64) -> bool {
+        self.usable_until_ms
+            .is_some_and(|until_ms| now_ms >= until_ms)
+    }
+
     /// Whether new calls may be sent to it.
     #[must_use]
     pub fn takes_calls(&self, now_ms: u64) -> bool {
-        let is_gone = self
-            .usable_until_ms
-            .is_some_and(|until_ms| now_ms >= until_ms);
-        !self.entry.draining && !is_gone
+        !self.entry.draining && !self.is_gone(now_ms)
     }
 
     /// Notes how many calls another VM has here, and what is still to be read of their prompts.
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -101,14 +101,10 @@
 
     /// Removes the targets whose registration ended and that are used no longer.
     pub fn remove_ended(&mut self, now_ms: u64) -> Vec<TargetName> {
-        let is_ended = |target: &TargetState| {
-            let until_ms = target.usable_until_ms;
-            until_ms.is_some_and(|until_ms| now_ms >= until_ms)
-        };
         let ended: Vec<TargetName> = self
             .by_name
             .values()
-            .filter(|target| is_ended(target))
+            .filter(|target| target.is_gone(now_ms))
             .map(|target| target.entry.name.clone())
             .collect();
         for name in &ended {
