Keep a second connection that stands while a stream is quiet

Not a matter of load alone: the test lets both fall on the same 200 ms. Ruled out: the fake server (its second connection stood and had more to say). Change: only a second connection that does not stand yet is replaced.

--- a/crates/toucan_platform/src/token_stream.rs
+++ b/crates/toucan_platform/src/token_stream.rs
@@ -14,7 +14,7 @@
 /// The tokens of one request, in order, whichever connection brings them.
 ///
 /// After a while without an event the stream is also asked for over a second connection, and after
-/// each further while over a fresh one in its place: the second may have been refused or gone
+/// each further while over a fresh one, until one of them stands: the second may be refused or go
 /// silent like the first. Whichever brings the next event is kept and the other closed: a
 /// connection that went silent is left, and one to a slow engine is not.
 pub struct TokenStream {
@@ -81,7 +81,7 @@
             return Ok(event);
         }
         loop {
-            let deadline = self.given_up_at().min(self.next_try_at());
+            let deadline = self.deadline();
             let step = tokio::select! {
                 biased;
                 event = self.reader.read() => Step::Main(event),
@@ -118,9 +118,15 @@
         self.last_event_at + Duration::from_millis(self.target.settings().progress_ms)
     }
 
-    /// When a second connection is opened, unless an event comes.
-    fn next_try_at(&self) -> Instant {
-        self.tried_at + Duration::from_millis(self.target.settings().quiet_ms)
+    /// When a second connection is opened, or the stream given up, unless an event comes.
+    ///
+    /// A second connection that stands is kept: the first one may break while another is opened.
+    fn deadline(&self) -> Instant {
+        if matches!(self.standby, Standby::Open(_)) {
+            return self.given_up_at();
+        }
+        let next_try_at = self.tried_at + Duration::from_millis(self.target.settings().quiet_ms);
+        next_try_at.min(self.given_up_at())
     }
 
     /// Notes progress and checks the order; [`None`] for a token that was already given.
@@ -171,14 +177,16 @@
             let next_token = self.next_token;
             return Err(StreamError::Silent { next_token });
         }
+        if matches!(self.standby, Standby::Open(_)) {
+            // It came to stand while the deadline of the one before was waited for.
+            return Ok(());
+        }
         self.tried_at = now;
         let target = Arc::clone(&self.target);
         let request = self.request.clone();
         let from_token = self.next_token;
-        if !matches!(self.standby, Standby::Open(_)) {
-            // A pooled connection may have gone silent like the one that is in doubt.
-            target.abandon_connections();
-        }
+        // A pooled connection may have gone silent like the one that is in doubt.
+        target.abandon_connections();
         self.standby =
             Standby::open(async move { open_stream(&target, &request, from_token).await.ok() });
         Ok(())
