Use one backoff for links and for the store

The gateway's StoreHealth spaced its retries by code of its own that toucan_wire::Backoff already had: doubling, a limit, drawn from half of the bound up. Backoff is a rule of retries, so it moves to toucan_router, which both crates use; toucan_wire would have brought TLS and h2 into the gateway. The pauses stay as they were: 200, 400, 500 ms; the constant said 100 and was doubled before its first use. Its failed() takes an impl Error in place of a dyn. Tests of the three crates are green; nothing was measured, as no pause changes.

--- a/crates/toucan_gateway/src/duties/store_health.rs
+++ b/crates/toucan_gateway/src/duties/store_health.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use rand::Rng;
+use toucan_router::Backoff;
 
-/// First pause after a failed call.
-const FIRST_PAUSE_MS: u64 = 100;
+/// Longest pause after the first failed call.
+const FIRST_PAUSE_MS: u64 = 200;
 /// Longest pause between failed calls; short, so that an end of an outage is noticed at once.
 const MOST_PAUSE_MS: u64 = 500;
 
@@ -15,6 +15,8 @@
     duty: &'static str,
     failures: u32,
     lost_at_ms: u64,
+    /// Spreads the pauses, so that VMs which lost the store together do not come back in one wave.
+    backoff: Backoff,
 }
 
 impl StoreHealth {
@@ -24,6 +26,7 @@
             duty,
             failures: 0,
             lost_at_ms: 0,
+            backoff: Backoff::new(FIRST_PAUSE_MS, MOST_PAUSE_MS),
         }
     }
 
@@ -45,21 +48,18 @@
             );
         }
         self.failures = 0;
+        self.backoff.reset();
         was_lost
     }
 
     /// A call failed; returns the pause before the next one.
-    pub(crate) fn failed(&mut self, error: &dyn std::error::Error, now_ms: u64) -> Duration {
+    pub(crate) fn failed(&mut self, error: &impl std::error::Error, now_ms: u64) -> Duration {
         if self.failures == 0 {
             self.lost_at_ms = now_ms;
             log::warn!(target: "store", duty = self.duty, error:% = error; "the store does not answer");
         }
         self.failures += 1;
         metrics::counter!("toucan_store_failures_total", "duty" => self.duty).increment(1);
-        let doubled = FIRST_PAUSE_MS << self.failures.min(4);
-        let pause_ms = doubled.min(MOST_PAUSE_MS);
-        // Spread, so that VMs which lost the store together do not come back in one wave.
-        let spread_ms = rand::rng().random_range(pause_ms / 2..=pause_ms);
-        Duration::from_millis(spread_ms)
+        Duration::from_millis(self.backoff.next_delay_ms(&mut rand::rng()))
     }
 }
--- a/crates/toucan_wire/src/backoff.rs
+++ b/crates/toucan_router/src/backoff.rs
@@ -6,7 +6,7 @@
 ///
 /// ```
 /// use rand::SeedableRng;
-/// use toucan_wire::Backoff;
+/// use toucan_router::Backoff;
 ///
 /// let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
 /// let mut backoff = Backoff::new(100, 1_000);
--- a/crates/toucan_router/src/lib.rs
+++ b/crates/toucan_router/src/lib.rs
@@ -7,12 +7,13 @@
 //! |---|---|
 //! | order of service | [`AdmissionQueue`], [`QueueSettings`], [`RateLimiter`] |
 //! | choice of target | [`TargetTable`], [`TargetChoice`], [`PrefixAware`], [`PrefixIndex`] |
-//! | retries and streams | [`RequestAttempts`], [`RetryBudget`], [`HedgePolicy`], [`StreamAssembler`] |
+//! | retries and streams | [`RequestAttempts`], [`RetryBudget`], [`Backoff`], [`HedgePolicy`], [`StreamAssembler`] |
 //! | silent links | [`ProgressWatch`] |
 //! | life cycle of targets | [`DrainState`], [`OrderDesk`], [`ModelPlanner`], [`WeightStoreShare`] |
 //! | KV cache | [`KvMoveDecision`] |
 
 mod admission_queue;
+mod backoff;
 mod baseline_choices;
 mod block_hashes;
 mod block_holders;
@@ -49,6 +50,7 @@
 mod weight_store_share;
 
 pub use admission_queue::AdmissionQueue;
+pub use backoff::Backoff;
 pub use baseline_choices::{LeastLoadedByReport, PowerOfTwoChoices, PrefixHash, Random};
 pub use block_hashes::block_hashes;
 pub use block_holders::Holder;
--- a/crates/toucan_wire/src/lib.rs
+++ b/crates/toucan_wire/src/lib.rs
@@ -13,7 +13,6 @@
     reason = "the texts of errors, which displaydoc takes from doc comments, name fields"
 )]
 
-mod backoff;
 mod frame;
 mod heartbeat;
 mod keep_alive;
@@ -38,7 +37,6 @@
 mod wire_v1;
 mod wire_v2;
 
-pub use backoff::Backoff;
 pub use frame::{
     FRAME_BYTES, FrameError, NEWEST_FRAME_VERSION, OLDEST_FRAME_VERSION, decode_reply,
     decode_request, encode_reply, encode_request,
--- a/crates/toucan_wire/src/peer_link.rs
+++ b/crates/toucan_wire/src/peer_link.rs
@@ -8,12 +8,13 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::sync::Mutex;
 use tokio::time::{Duration, Instant, timeout};
+use toucan_router::Backoff;
 
 use crate::live_connection::{Ended, LiveConnection};
 use crate::transport::{HEADER_DATA_CENTRE, HEADER_FRAME_VERSION, HEADER_VM, PATH, read_body};
 use crate::{
-    Backoff, LinkError, LinkSettings, NEWEST_FRAME_VERSION, OLDEST_FRAME_VERSION, PeerIdentity,
-    PeerTarget, Reply, Request, Tls, decode_reply, encode_request,
+    LinkError, LinkSettings, NEWEST_FRAME_VERSION, OLDEST_FRAME_VERSION, PeerIdentity, PeerTarget,
+    Reply, Request, Tls, decode_reply, encode_request,
 };
 
 /// A link to one peer, over one connection at a time that is replaced when it ends or goes silent.
