Do work once on the path of a call and in the pass over the grants

Found by reading the whole change again; no decision is changed. - the share of a target's connections was worked out twice for each send, each time over all members; - each call that waits for tokens copied and sorted all members every 30 ms, before it knew whether a round was due; the count alone tells that now; - each pass over the grants hashed every organisation's name once for each partition, counted the members once for each organisation, and looked twice for former processes; - a message to other gateways was copied before it was encoded. The tests keep their assertions; those of LapseRule pass the failure as an argument.

--- a/crates/toucan_gateway/src/core.rs
+++ b/crates/toucan_gateway/src/core.rs
@@ -116,12 +116,7 @@
 
     /// The wallet of an organisation.
     pub(crate) fn wallet(&mut self, organisation: &OrganisationName) -> &mut Wallet {
-        if !self.wallets.contains_key(organisation) {
-            self.wallets.insert(organisation.clone(), Wallet::default());
-        }
-        self.wallets
-            .get_mut(organisation)
-            .unwrap_or_else(|| unreachable!("the wallet was inserted above"))
+        self.wallets.entry(organisation.clone()).or_default()
     }
 
     /// Counts a call for the allowance of retries of its service.
--- a/crates/toucan_gateway/src/duties/grant_duty.rs
+++ b/crates/toucan_gateway/src/duties/grant_duty.rs
@@ -110,24 +110,22 @@
         gateway.wallets_kept_at.send_replace(began_ms);
         return Ok(());
     };
-    let count = partitions.len() as u32;
-    for (number, partition) in partitions.iter_mut().enumerate() {
-        let organisations: Vec<Rc<Organisation>> = config
-            .key_ring
-            .organisations()
-            .filter(|organisation| partition_of(&organisation.name, count) == number as u32)
-            .map(Rc::clone)
-            .collect();
-        if !partition.is_read || partition.is_due(gateway, &organisations) {
+    let mut by_partition: Vec<Vec<Rc<Organisation>>> = vec![Vec::new(); partitions.len()];
+    for organisation in config.key_ring.organisations() {
+        let number = partition_of(&organisation.name, partitions.len());
+        by_partition[number].push(Rc::clone(organisation));
+    }
+    for (partition, organisations) in partitions.iter_mut().zip(&by_partition) {
+        if !partition.is_read || partition.is_due(gateway, organisations) {
             partition
-                .update(gateway, config.version, &organisations)
+                .update(gateway, config.version, organisations)
                 .await?;
         }
     }
     let mut core = gateway.core.borrow_mut();
     if !core.grants_known {
         core.grants_known = true;
-        log::info!(target: "budget", partitions = count; "grants read");
+        log::info!(target: "budget", partitions = partitions.len(); "grants read");
     }
     drop(core);
     gateway.wallets_kept_at.send_replace(began_ms);
@@ -141,9 +139,9 @@
 }
 
 /// The partition of an organisation's budget.
-fn partition_of(organisation: &OrganisationName, count: u32) -> u32 {
+fn partition_of(organisation: &OrganisationName, count: usize) -> usize {
     let hash = blake3::hash(organisation.as_str().as_bytes());
-    u32::from(hash.as_bytes()[0]) % count
+    usize::from(hash.as_bytes()[0]) % count
 }
 
 impl GrantPartition {
@@ -164,8 +162,9 @@
     ) -> bool {
         let now_ms = gateway.now_ms();
         let core = &mut *gateway.core.borrow_mut();
+        let processes = core.members.processes(now_ms);
         organisations.iter().any(|organisation| {
-            let Some(view) = self.view_of(core, organisation, now_ms) else {
+            let Some(view) = self.view_of(core, organisation, processes, now_ms) else {
                 return false;
             };
             let wallet = core.wallet(&organisation.name);
@@ -257,10 +256,11 @@
     ) -> Result<Vec<KeyedRecord>, GrantError> {
         let now_ms = gateway.now_ms();
         let core = &mut *gateway.core.borrow_mut();
+        let processes = core.members.processes(now_ms);
         let mut records = Vec::new();
         for organisation in organisations {
             let name = &organisation.name;
-            let Some(view) = self.view_of(core, organisation, now_ms) else {
+            let Some(view) = self.view_of(core, organisation, processes, now_ms) else {
                 continue;
             };
             let wallet = core.wallet(name);
@@ -287,7 +287,8 @@
                 records.push(encode(&self.writer.key(name), Some(record))?);
             }
         }
-        for (organisation, former, record) in self.book.replaced_by(&gateway.holder()) {
+        let replaced = self.book.replaced_by(&gateway.holder());
+        for (organisation, former, record) in &replaced {
             log::info!(
                 target: "budget",
                 organisation = organisation.as_str(),
@@ -297,8 +298,10 @@
                 "what a former process of this VM held counts as spent"
             );
         }
-        for (key, record) in self.writer.absorb_former(&self.book) {
-            records.push(encode(&key, record)?);
+        if !replaced.is_empty() {
+            for (key, record) in self.writer.absorb_former(&self.book) {
+                records.push(encode(&key, record)?);
+            }
         }
         self.is_read = true;
         Ok(records)
@@ -327,6 +330,7 @@
         &self,
         core: &Core,
         organisation: &Organisation,
+        processes: u32,
         now_ms: u64,
     ) -> Option<OrganisationView> {
         let name = &organisation.name;
@@ -334,7 +338,7 @@
             config_version: core.config.as_ref()?.version,
             prepaid: organisation.prepaid?,
             waiting: core.waiting.get(name).copied().unwrap_or(Tokens::ZERO),
-            processes: core.members.processes(now_ms),
+            processes,
             others_rate_per_s: self
                 .book
                 .rate_per_s(name, |vm| core.members.is_live(vm, now_ms)),
--- a/crates/toucan_gateway/src/duties/peer_duty.rs
+++ b/crates/toucan_gateway/src/duties/peer_duty.rs
@@ -64,7 +64,7 @@
             .map(|(vm, _member)| vm.clone())
             .collect();
         let message = PeerMessage::Load(calls);
-        gateway.send_to_peers(vms.iter(), &message);
+        gateway.send_to_peers(vms.iter(), message);
     }
 }
 
@@ -156,7 +156,7 @@
         organisation,
         tokens,
     };
-    gateway.send_to_peers(std::iter::once(&vm), &message);
+    gateway.send_to_peers(std::iter::once(&vm), message);
 }
 
 fn take_loan<P: Platform>(
--- a/crates/toucan_gateway/src/duties/target_duty.rs
+++ b/crates/toucan_gateway/src/duties/target_duty.rs
@@ -15,6 +15,7 @@
 
 /// Time between two reads; targets write often, and one read brings what all of them wrote.
 const READ_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Follows the targets' registrations for good.
 pub(crate) async fn follow_targets<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut follower = TopicFollower::new(Topic::Targets, 0);
@@ -24,8 +25,7 @@
         match follower.read(&gateway.platform, Duration::ZERO).await {
             Ok(followed) => {
                 let now_ms = gateway.now_ms();
-                health.answered(now_ms);
-                lapse_rule.note_answer(now_ms);
+                lapse_rule.note_answer(health.answered(now_ms), now_ms);
                 let usable_until_ms = lapse_rule.usable_until_ms(gateway.bounds().drain_ms, now_ms);
                 if followed.is_whole {
                     note_missing(&gateway, &followed.batch.records, usable_until_ms);
@@ -37,10 +37,7 @@
                 gateway.core.borrow_mut().targets_known = true;
                 sleep(READ_INTERVAL).await;
             }
-            Err(error) => {
-                lapse_rule.note_failure();
-                sleep(health.failed(&error, gateway.now_ms())).await;
-            }
+            Err(error) => sleep(health.failed(&error, gateway.now_ms())).await,
         }
     }
 }
--- a/crates/toucan_gateway/src/event_log.rs
+++ b/crates/toucan_gateway/src/event_log.rs
@@ -39,18 +39,23 @@
 
 impl std::error::Error for EventLogError {}
 
+impl EventLogError {
+    fn from_cause(cause: impl std::fmt::Display) -> Self {
+        Self(cause.to_string())
+    }
+}
+
 /// Logs to standard output as one JSON object a line; to be called once.
 ///
 /// # Errors
 ///
 /// [`EventLogError`] if logging was set up before or the writer cannot start.
 pub fn start_event_log(level: log::LevelFilter) -> Result<(), EventLogError> {
-    let failed = |error: &dyn std::fmt::Display| EventLogError(error.to_string());
     let (sender, receiver) = sync_channel(MOST_WAITING);
     thread::Builder::new()
         .name("log".to_owned())
         .spawn(move || write_lines(&receiver))
-        .map_err(|error| failed(&error))?;
+        .map_err(EventLogError::from_cause)?;
     let appender = RingAppender {
         sender,
         encoder: JsonEncoder::new(),
@@ -58,8 +63,8 @@
     let config = Config::builder()
         .appender(Appender::builder().build(STDOUT, Box::new(appender)))
         .build(Root::builder().appender(STDOUT).build(level))
-        .map_err(|error| failed(&error))?;
-    log4rs::init_config(config).map_err(|error| failed(&error))?;
+        .map_err(EventLogError::from_cause)?;
+    log4rs::init_config(config).map_err(EventLogError::from_cause)?;
     Ok(())
 }
 
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -155,18 +155,23 @@
     /// Asks some other gateways for a loan.
     pub(crate) fn ask_peers(&self, organisation: &OrganisationName, lacking: Tokens) {
         let now_ms = self.now_ms();
-        let mut peers: Vec<(VmName, u64)> = {
-            let core = self.core.borrow();
-            core.members
-                .live(now_ms)
-                .map(|(vm, member)| (vm.clone(), member.entry.start))
-                .collect()
-        };
-        peers.sort_unstable();
+        let count = self.core.borrow().members.live(now_ms).count();
         let chosen = self
             .lending
             .borrow_mut()
-            .next_round(organisation, peers.len(), now_ms);
+            .next_round(organisation, count, now_ms);
+        if chosen.is_empty() {
+            // Each call that waits asks for a round; most come too soon for one.
+            return;
+        }
+        let mut peers: Vec<(VmName, u64)> = self
+            .core
+            .borrow()
+            .members
+            .live(now_ms)
+            .map(|(vm, member)| (vm.clone(), member.entry.start))
+            .collect();
+        peers.sort_unstable();
         for (vm, lender_start) in chosen.into_iter().filter_map(|at| peers.get(at)) {
             let (id, tokens) =
                 self.lending
@@ -178,7 +183,7 @@
                 organisation: organisation.clone(),
                 tokens,
             };
-            self.send_to_peers(std::iter::once(vm), &message);
+            self.send_to_peers(std::iter::once(vm), message);
         }
     }
 
@@ -186,7 +191,7 @@
     pub(crate) fn send_to_peers<'a>(
         &self,
         vms: impl Iterator<Item = &'a VmName>,
-        message: &PeerMessage,
+        message: PeerMessage,
     ) {
         let Some(socket) = self.peers_socket.borrow().clone() else {
             return;
@@ -194,7 +199,7 @@
         let datagram = Datagram {
             vm: self.settings.vm.clone(),
             start: self.start,
-            message: message.clone(),
+            message,
         };
         let bytes = match datagram.encode(&self.key) {
             Ok(bytes) => bytes,
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -31,7 +31,6 @@
 mod settings;
 mod socket_options;
 
-pub use clock::boot_time_ms;
 pub use error::Refusal;
 pub use event_log::{EventLogError, flush_event_log, start_event_log};
 pub use event_splitter::EventSplitter;
@@ -41,4 +40,3 @@
 pub use launch::StartError;
 pub use platform::Platform;
 pub use settings::{Bounds, GatewaySettings};
-pub use socket_options::set_liveness_options;
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Member {
     /// Its registration.
-    pub entry: MemberEntry,
+    pub(crate) entry: MemberEntry,
     /// When it was last heard of.
     pub heard_at_ms: u64,
 }
@@ -60,7 +60,7 @@
     }
 
     /// Removes a gateway that has stopped.
-    pub fn remove(&mut self, vm: &VmName) {
+    pub(crate) fn remove(&mut self, vm: &VmName) {
         self.by_vm.remove(vm);
     }
 
@@ -70,7 +70,7 @@
     }
 
     /// All gateways.
-    pub fn iter(&self) -> impl Iterator<Item = (&VmName, &Member)> {
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&VmName, &Member)> {
         self.by_vm.iter()
     }
 
@@ -97,14 +97,14 @@
     }
 
     /// Whether another gateway is running.
-    pub fn is_live(&self, vm: &VmName, now_ms: u64) -> bool {
+    pub(crate) fn is_live(&self, vm: &VmName, now_ms: u64) -> bool {
         self.by_vm
             .get(vm)
             .is_some_and(|member| member.is_live(now_ms))
     }
 
     /// Gateways that are running, but this one.
-    pub fn live(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
+    pub(crate) fn live(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
         self.by_vm
             .iter()
             .filter(move |(_vm, member)| member.is_live(now_ms))
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -103,7 +103,7 @@
         .into_iter()
         .filter(|target| !is_any_sound || !table.is_avoided(target, now_ms))
         .map(|target| {
-            let is_home = home.as_ref() == Some(&target.entry.name);
+            let is_home = home == Some(&target.entry.name);
             let delay_ms = expected_delay_ms(request, target, is_home, settings, now_ms);
             (
                 delay_ms,
@@ -185,13 +185,16 @@
 }
 
 /// The target that all VMs prefer for the prompt's shared parts.
-fn home_of(request: &ChoiceRequest<'_>, candidates: &[&TargetState]) -> Option<TargetName> {
+fn home_of<'a>(
+    request: &ChoiceRequest<'_>,
+    candidates: &[&'a TargetState],
+) -> Option<&'a TargetName> {
     let key = shared_key(request.parts)?;
     candidates
         .iter()
         .map(|target| (tie_break(key, &target.entry.name), &target.entry.name))
         .max()
-        .map(|(_weight, name)| name.clone())
+        .map(|(_weight, name)| name)
 }
 
 /// Hash of the parts that other calls may share: all but the last, or the only one.
--- a/crates/toucan_gateway/src/placement/lapse.rs
+++ b/crates/toucan_gateway/src/placement/lapse.rs
@@ -19,23 +19,16 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LapseRule {
     last_answer_ms: Option<u64>,
-    has_failed: bool,
     outage_ended_ms: Option<u64>,
 }
 
 impl LapseRule {
-    /// The store did not answer.
-    pub const fn note_failure(&mut self) {
-        self.has_failed = true;
-    }
-
-    /// The store answered.
-    pub fn note_answer(&mut self, now_ms: u64) {
+    /// The store answered a read, the first one after a failure or not.
+    pub fn note_answer(&mut self, is_first_after_failure: bool, now_ms: u64) {
         let silence_ms = now_ms.saturating_sub(self.last_answer_ms.unwrap_or(now_ms));
-        if self.has_failed && silence_ms >= LEAST_OUTAGE_MS {
+        if is_first_after_failure && silence_ms >= LEAST_OUTAGE_MS {
             self.outage_ended_ms = Some(now_ms);
         }
-        self.has_failed = false;
         self.last_answer_ms = Some(now_ms);
     }
 
--- a/crates/toucan_gateway/src/placement/part_cache.rs
+++ b/crates/toucan_gateway/src/placement/part_cache.rs
@@ -45,11 +45,6 @@
         all.saturating_sub(self.cached_tokens(parts, now_ms))
     }
 
-    /// Forgets everything, after the target lost its memory.
-    pub fn clear(&mut self) {
-        self.sent_at_ms.clear();
-    }
-
     fn holds(&self, id: u64, now_ms: u64) -> bool {
         self.sent_at_ms
             .get(&id)
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -130,7 +130,11 @@
 
 impl<P: Platform> CallAccount<P> {
     /// The account of a call that has no tokens reserved yet.
-    pub(crate) fn new(gateway: Rc<Gateway<P>>, log: CallLog) -> Self {
+    pub(crate) fn new(gateway: Rc<Gateway<P>>) -> Self {
+        let log = CallLog {
+            began_ms: gateway.now_ms(),
+            ..CallLog::default()
+        };
         gateway.core.borrow_mut().calls_in_progress += 1;
         Self {
             gateway,
--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -3,7 +3,7 @@
 use crate::Refusal;
 
 /// What is told of a call when it ends, whichever way.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct CallLog {
     /// Id of the caller's attempt.
     pub(crate) id: String,
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -17,7 +17,6 @@
 
 use super::{
     call::{Call, CallAccount},
-    call_log::CallLog,
     exchange::remove_connection_headers,
 };
 
@@ -72,21 +71,6 @@
     })
 }
 
-/// The log entry of a call of which nothing is known yet.
-pub(crate) fn new_log(began_ms: u64) -> CallLog {
-    CallLog {
-        id: String::new(),
-        route: String::new(),
-        organisation: String::new(),
-        config_version: 0,
-        began_ms,
-        sent_to: Vec::new(),
-        reserved_tokens: 0,
-        expected_ms: 0,
-        first_event_ms: 0,
-    }
-}
-
 /// An evenly distributed number that is the same for the same id.
 pub(crate) fn hash_of(id: &RequestId) -> u64 {
     use std::hash::{BuildHasher, Hasher};
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -91,8 +91,8 @@
         {
             return Err((Refusal::Overloaded { return_ms }, "the engines are behind"));
         }
-        let target = chosen.entry;
-        let failure = match send_once(gateway, call, account, &target, last_event_id).await {
+        let target = &chosen.entry;
+        let failure = match send_once(gateway, call, account, &chosen, last_event_id).await {
             Ok(answered) => return Ok(answered),
             Err(failure) => failure,
         };
@@ -107,7 +107,7 @@
             route.most_targets,
             left_ms,
         );
-        log_failure(&call.id, &target, failure, step, left_ms);
+        log_failure(&call.id, target, failure, step, left_ms);
         match step {
             NextStep::TryUnsent => {}
             NextStep::SendAgainOr(refusal) => {
@@ -154,18 +154,20 @@
 
 fn choose<P: Platform>(gateway: &Rc<Gateway<P>>, call: &Call, now_ms: u64) -> Option<Chosen> {
     let core = gateway.core.borrow();
+    let most_connections = most_connections(call, core.members.processes(now_ms));
     let request = ChoiceRequest {
         engine: call.service_settings().and_then(|service| service.engine),
         parts: &call.head.prompt_parts,
         data_centre: &gateway.settings.data_centre,
         tried: &call.tried,
-        most_in_flight: most_connections(gateway, call, now_ms),
+        most_in_flight: most_connections,
         draw: hash_of(&call.id),
     };
     let settings = ChoiceSettings::default();
     let chosen = choose_target(&request, &call.service, &core.targets, &settings, now_ms)?;
     Some(Chosen {
         entry: Rc::clone(&chosen.target.entry),
+        most_connections,
         expected_ms: chosen.first_event_ms as u64,
         return_ms: request
             .engine
@@ -176,19 +178,21 @@
 /// The target for a call.
 struct Chosen {
     entry: Rc<TargetEntry>,
+    /// Connections that this VM may open to it.
+    most_connections: u32,
     /// Expected time to the first event.
     expected_ms: u64,
     /// Time after which the call may come back, if the target is too far behind.
     return_ms: Option<u64>,
 }
 
-/// Connections that this VM may open to one target of the call's service.
-fn most_connections<P: Platform>(gateway: &Rc<Gateway<P>>, call: &Call, now_ms: u64) -> u32 {
+/// Connections that one of so many gateways may open to one target of the call's service.
+fn most_connections(call: &Call, processes: u32) -> u32 {
     let limit = call
         .service_settings()
         .and_then(|service| service.most_connections)
         .unwrap_or(DEFAULT_CONNECTIONS);
-    connection_share(limit, gateway.core.borrow().members.processes(now_ms))
+    connection_share(limit, processes)
 }
 
 /// Sends a call to one target and reads the answer, or the first bytes of a stream.
@@ -196,17 +200,18 @@
     gateway: &Rc<Gateway<P>>,
     call: &Call,
     account: &mut CallAccount<P>,
-    target: &Rc<TargetEntry>,
+    chosen: &Chosen,
     last_event_id: Option<&str>,
 ) -> Result<Answered<P>, SendFailure> {
     let now_ms = gateway.now_ms();
+    let target = &chosen.entry;
     let mut visit = TargetVisit::begin(Rc::clone(gateway), &target.name, call);
     account.log.sent_to.push(target.name.to_string());
     let exchange = Exchange {
         target,
         id: &call.id,
         request: call.request_to(&gateway.platform, target, last_event_id, now_ms),
-        most_connections: most_connections(gateway, call, now_ms),
+        most_connections: chosen.most_connections,
         head_timeout: head_timeout(call, now_ms),
         now_ms,
     };
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -13,7 +13,7 @@
 use super::{
     answer::{AnswerBody, IncompleteAnswer, refusal_answer},
     call::{Call, CallAccount},
-    read_call::{new_log, read_call},
+    read_call::read_call,
     relay::relay_events,
     reserve::reserve_tokens,
     send::{Answered, Refused, WholeAnswer, send_until_answered},
@@ -24,8 +24,7 @@
     gateway: Rc<Gateway<P>>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody<impl Stream<Item = Result<Bytes, IncompleteAnswer>>>> {
-    let began_ms = gateway.now_ms();
-    let mut account = CallAccount::new(Rc::clone(&gateway), new_log(began_ms));
+    let mut account = CallAccount::new(Rc::clone(&gateway));
     let (call, answered) = match open_call(&gateway, request, &mut account).await {
         Ok(opened) => opened,
         Err((refusal, reason)) => {
--- a/crates/toucan_gateway/src/socket_options.rs
+++ b/crates/toucan_gateway/src/socket_options.rs
@@ -18,7 +18,7 @@
 /// # Errors
 ///
 /// The system's error if an option cannot be set.
-pub fn set_liveness_options<S: std::os::fd::AsFd>(socket: &S) -> io::Result<()> {
+pub(crate) fn set_liveness_options(socket: &impl std::os::fd::AsFd) -> io::Result<()> {
     let socket = SockRef::from(socket);
     socket.set_tcp_nodelay(true)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -217,32 +217,30 @@
 #[test]
 fn a_registration_that_ends_on_a_calm_day_ends_the_use_at_once() {
     let mut rule = LapseRule::default();
-    rule.note_answer(1_000);
-    rule.note_answer(1_400);
+    rule.note_answer(false, 1_000);
+    rule.note_answer(false, 1_400);
     assert_eq!(rule.usable_until_ms(DRAIN_MS, 1_400), 1_400);
 }
 
 #[test]
 fn one_failed_read_is_no_outage() {
     let mut rule = LapseRule::default();
-    rule.note_answer(1_000);
-    rule.note_failure();
-    rule.note_answer(1_600);
+    rule.note_answer(false, 1_000);
+    rule.note_answer(true, 1_600);
     assert_eq!(rule.usable_until_ms(DRAIN_MS, 1_600), 1_600);
 }
 
 #[test]
 fn registrations_that_lapsed_in_an_outage_are_waited_for_within_the_drain_bound() {
     let mut rule = LapseRule::default();
-    rule.note_answer(1_000);
-    rule.note_failure();
-    rule.note_answer(9_000);
+    rule.note_answer(false, 1_000);
+    rule.note_answer(true, 9_000);
     assert_eq!(rule.usable_until_ms(DRAIN_MS, 9_000), 10_700);
-    rule.note_answer(9_400);
+    rule.note_answer(false, 9_400);
     assert_eq!(rule.usable_until_ms(DRAIN_MS, 9_400), 10_600);
-    rule.note_answer(10_600);
+    rule.note_answer(false, 10_600);
     assert_eq!(rule.usable_until_ms(DRAIN_MS, 10_600), 11_000);
-    rule.note_answer(12_000);
+    rule.note_answer(false, 12_000);
     assert_eq!(rule.usable_until_ms(DRAIN_MS, 12_000), 12_000);
 }
 
