--- a/crates/toucan_gateway/src/budget/draw_sizing.rs
+++ b/crates/toucan_gateway/src/budget/draw_sizing.rs
@@ -57,16 +57,22 @@
     pub prepaid: Tokens,
     /// Tokens granted to all processes together.
     pub granted_to_all: Tokens,
+    /// Tokens that all processes together have spent, as far as they have reported it.
+    pub spent_by_all: Tokens,
     /// Tokens available to this process.
     pub available: Tokens,
+    /// The part of `available` that can be returned to the store.
+    pub returnable: Tokens,
+    /// Whether this process holds tokens for other gateways and for its next calls.
+    pub is_holder: bool,
     /// Tokens that waiting calls need.
     pub waiting: Tokens,
     /// Tokens per second that calls to this process ask for.
     pub rate_per_s: f64,
     /// Tokens per second that calls to the other processes ask for.
     pub others_rate_per_s: f64,
-    /// Number of processes that draw from the budget.
-    pub processes: u32,
+    /// Number of processes that hold tokens of the budget.
+    pub holders: u32,
     /// Time for which a stopping process still accepts calls; [`None`] if no stop is planned.
     pub remaining_accept_ms: Option<u64>,
 }
@@ -90,16 +96,13 @@
 #[must_use]
 pub fn decide_draw(input: &DrawInput, settings: &DrawSettings) -> DrawDecision {
     if input.granted_to_all > input.prepaid {
-        return match input.available {
-            Tokens::ZERO => DrawDecision::Keep,
-            idle => DrawDecision::Return(idle),
-        };
+        return return_up_to(input.available, input);
     }
     let ungranted = input.prepaid.saturating_sub(input.granted_to_all);
     let desired = desired_balance(input, settings);
     let surplus_limit = scaled(desired, settings.return_threshold);
     if input.waiting.is_zero() && input.available > surplus_limit {
-        return DrawDecision::Return(input.available.saturating_sub(desired));
+        return return_up_to(input.available.saturating_sub(desired), input);
     }
     let shortfall = desired
         .saturating_add(input.waiting)
@@ -117,15 +120,26 @@
     }
 }
 
+/// Returns the decision to return `surplus` tokens, as far as they can be returned.
+fn return_up_to(surplus: Tokens, input: &DrawInput) -> DrawDecision {
+    match surplus.min(input.returnable) {
+        Tokens::ZERO => DrawDecision::Keep,
+        idle => DrawDecision::Return(idle),
+    }
+}
+
 /// Returns the number of available tokens that a process should hold.
 fn desired_balance(input: &DrawInput, settings: &DrawSettings) -> Tokens {
+    if !input.is_holder {
+        return Tokens::ZERO;
+    }
     if let Some(remaining_ms) = input.remaining_accept_ms {
         // The rest is returned early, because the store may be unreachable when the process ends.
         return Tokens((input.rate_per_s * remaining_ms as f64 / 1_000.0) as u64);
     }
-    let processes = f64::from(input.processes.max(1));
+    let holders = f64::from(input.holders.max(1));
     let ungranted = input.prepaid.saturating_sub(input.granted_to_all).0 as f64;
-    let unspent = ungranted + input.available.0 as f64 * processes;
+    let unspent = input.prepaid.saturating_sub(input.spent_by_all).0 as f64;
     let fleet_rate = input.rate_per_s + input.others_rate_per_s;
     let prepaid = (input.prepaid.0 as f64).max(1.0);
     let max_held = unspent * (unspent / prepaid).powi(2) * settings.max_held_fraction;
@@ -135,12 +149,11 @@
     } else {
         0.0
     };
-    let share =
-        rate_share * settings.own_rate_weight + (1.0 - settings.own_rate_weight) / processes;
-    // An idle process holds an equal share, so that its first call need not wait for a draw.
+    let share = rate_share * settings.own_rate_weight + (1.0 - settings.own_rate_weight) / holders;
+    // An idle holder holds an equal share, so that its first call need not wait for a draw.
     let ungranted_fraction = ungranted / prepaid;
     let initial = prepaid * settings.initial_fraction * ungranted_fraction * ungranted_fraction;
-    Tokens((held_by_all * share).max(initial / processes) as u64)
+    Tokens((held_by_all * share).max(initial / holders) as u64)
 }
 
 fn scaled(tokens: Tokens, factor: f64) -> Tokens {
--- a/crates/toucan_gateway/src/budget/grant_writer.rs
+++ b/crates/toucan_gateway/src/budget/grant_writer.rs
@@ -16,8 +16,10 @@
     pub prepaid: Tokens,
     /// Tokens that waiting calls need.
     pub waiting: Tokens,
-    /// Number of processes that draw from the budget.
-    pub processes: u32,
+    /// Whether this process holds tokens for other gateways and for its next calls.
+    pub is_holder: bool,
+    /// Number of processes that hold tokens of the budget.
+    pub holders: u32,
     /// Tokens per second that calls to the other processes ask for.
     pub others_rate_per_s: u64,
     /// Time for which a stopping process still accepts calls; [`None`] if no stop is planned. At
@@ -119,8 +121,13 @@
         Some(GrantRecord {
             drawn,
             returned: wallet.returned(),
-            spent: wallet.confirmed_spent(),
-            rate_per_s: wallet.rate_per_s(now_ms) as u64,
+            spent: wallet.reported_spent(),
+            // A gateway that no longer holds tokens must not keep a share of the fleet's rate.
+            rate_per_s: if snapshot.is_holder {
+                wallet.rate_per_s(now_ms) as u64
+            } else {
+                0
+            },
             config_version,
             prepaid,
         })
@@ -201,7 +208,7 @@
     now_ms: u64,
 ) -> DrawDecision {
     if snapshot.remaining_accept_ms == Some(0) {
-        return match wallet.available() {
+        return match wallet.returnable() {
             Tokens::ZERO => DrawDecision::Keep,
             idle => DrawDecision::Return(idle),
         };
@@ -210,11 +217,14 @@
     let input = DrawInput {
         prepaid: grants.prepaid(organisation, configured).1,
         granted_to_all: grants.granted(organisation),
+        spent_by_all: grants.spent(organisation),
         available: wallet.available(),
+        returnable: wallet.returnable(),
+        is_holder: snapshot.is_holder,
         waiting: snapshot.waiting,
         rate_per_s: wallet.rate_per_s(now_ms),
         others_rate_per_s: snapshot.others_rate_per_s as f64,
-        processes: snapshot.processes,
+        holders: snapshot.holders,
         remaining_accept_ms: snapshot.remaining_accept_ms,
     };
     decide_draw(&input, settings)
--- a/crates/toucan_gateway/src/budget/rate_meter.rs
+++ b/crates/toucan_gateway/src/budget/rate_meter.rs
@@ -26,6 +26,12 @@
         self.first_at_ms.get_or_insert(now_ms);
     }
 
+    /// Returns when a call last asked for tokens.
+    #[must_use]
+    pub const fn updated_at_ms(&self) -> u64 {
+        self.updated_at_ms
+    }
+
     /// Returns the average in tokens per second.
     #[must_use]
     pub fn per_s(&self, now_ms: u64) -> f64 {
--- a/crates/toucan_gateway/src/budget/wallet.rs
+++ b/crates/toucan_gateway/src/budget/wallet.rs
@@ -45,6 +45,14 @@
             .saturating_sub(self.reserved)
     }
 
+    /// Returns the available tokens that this process drew itself. Borrowed tokens are not drawn,
+    /// so they cannot be returned to the store.
+    #[must_use]
+    pub fn returnable(&self) -> Tokens {
+        let granted = self.drawn.saturating_sub(self.returned);
+        self.available().min(granted)
+    }
+
     /// Returns the total tokens that this process has returned, recorded in the store or not.
     #[must_use]
     pub const fn returned(&self) -> Tokens {
@@ -57,6 +65,17 @@
         self.spent.saturating_sub(self.unconfirmed)
     }
 
+    /// Returns the total tokens that the store's record reports as spent.
+    ///
+    /// Tokens lent to another process count here, because a borrower that holds no tokens itself
+    /// writes no record. A borrower subtracts them, so that they count once.
+    #[must_use]
+    pub const fn reported_spent(&self) -> Tokens {
+        self.confirmed_spent()
+            .saturating_add(self.lent)
+            .saturating_sub(self.borrowed)
+    }
+
     /// Returns the total tokens that count as spent by this process.
     #[must_use]
     pub const fn spent(&self) -> Tokens {
@@ -69,6 +88,13 @@
         self.rate.per_s(now_ms)
     }
 
+    /// Returns whether no call holds a reservation and none has asked for tokens since
+    /// `since_ms`.
+    #[must_use]
+    pub fn is_idle_since(&self, since_ms: u64) -> bool {
+        self.reserved.is_zero() && self.rate.updated_at_ms() <= since_ms
+    }
+
     /// Returns whether reserving and lending are blocked until the grants are checked.
     #[must_use]
     pub const fn is_frozen(&self) -> bool {
@@ -129,8 +155,7 @@
     /// They leave the wallet before the return is appended, so that they cannot count twice if the
     /// outcome of the append is unknown.
     pub fn return_tokens(&mut self, tokens: Tokens) -> Tokens {
-        let granted = self.drawn.saturating_sub(self.returned);
-        let taken = tokens.min(self.available()).min(granted);
+        let taken = tokens.min(self.returnable());
         self.returned = self.returned.saturating_add(taken);
         taken
     }
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -18,7 +18,7 @@
     budget::GatewayProcess,
     clock::boot_time_ms,
     config::CallerLimits,
-    peers::{Datagram, Lending, MemberEntry, PeerMessage},
+    peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
     serving::{ConnectionPool, http_listener::ListenerState},
     settings::{Bounds, GatewaySettings},
     state::GatewayState,
@@ -31,9 +31,11 @@
 pub struct Gateway<P: Platform> {
     pub(crate) platform: P,
     pub(crate) settings: GatewaySettings,
+    pub(crate) location: GatewayLocation,
     pub(crate) state: RefCell<GatewayState>,
     pub(crate) pool: Rc<ConnectionPool>,
     pub(crate) lending: RefCell<Lending>,
+    pub(crate) transfers: RefCell<Transfers>,
     /// Notifies calls that wait for tokens.
     pub(crate) tokens_changed: Notify,
     /// Wakes the task that draws and returns tokens.
@@ -55,11 +57,16 @@
             state: RefCell::default(),
             pool: Rc::default(),
             lending: RefCell::default(),
+            transfers: RefCell::default(),
             tokens_changed: Notify::new(),
             sync_requested: Notify::new(),
             grants_synced_at: watch::channel(0).0,
             listener_state: watch::channel(ListenerState::Open).0,
             bounds: Cell::new(settings.bounds),
+            location: GatewayLocation {
+                vm: settings.vm.clone(),
+                data_centre: settings.data_centre.clone(),
+            },
             settings,
             start_id: rand::rng().random(),
             datagram_key: rand::rng().random(),
@@ -120,6 +127,7 @@
             start: self.start_id,
             address: self.settings.peer_address,
             key: self.datagram_key,
+            data_centre: self.settings.data_centre.clone(),
         }
     }
 
@@ -155,34 +163,51 @@
             && snapshot.prepaid.saturating_sub(snapshot.spent) < tokens
     }
 
-    /// Asks some of the other gateways for a loan.
-    pub(crate) fn request_loans(&self, organisation: &OrganisationName, missing: Tokens) {
+    /// Returns whether this gateway holds tokens of an organisation for its data centre.
+    pub(crate) fn is_holder(&self, organisation: &OrganisationName) -> bool {
         let now_ms = self.now_ms();
-        let count = self.state.borrow().members.live(now_ms).count();
-        let chosen = self
-            .lending
-            .borrow_mut()
-            .next_round(organisation, count, now_ms);
+        let state = self.state.borrow();
+        state.is_holder(organisation, &self.location, now_ms)
+    }
+
+    /// Returns whether the store may still grant tokens of an organisation.
+    pub(crate) fn can_draw(&self, organisation: &OrganisationName) -> bool {
+        let now_ms = self.now_ms();
+        let state = self.state.borrow();
+        !state.grants_unreachable && !state.is_fully_granted(organisation, now_ms)
+    }
+
+    /// Returns whether neither the store nor another gateway had tokens of an organisation a moment
+    /// ago.
+    pub(crate) fn is_loan_hopeless(&self, organisation: &OrganisationName) -> bool {
+        let now_ms = self.now_ms();
+        !self.can_draw(organisation) && self.lending.borrow().is_tour_over(organisation, now_ms)
+    }
+
+    /// Asks some of the other gateways for the tokens that calls wait for and this one lacks.
+    pub(crate) fn request_loans(&self, organisation: &OrganisationName) {
+        let now_ms = self.now_ms();
+        let mut lenders = self
+            .state
+            .borrow()
+            .members
+            .lenders(organisation, &self.location, now_ms);
+        let mut lending = self.lending.borrow_mut();
+        let chosen = lending.next_round(organisation, lenders.len(), now_ms);
         if chosen.is_empty() {
             // Every waiting call gets here, usually before the next round is due.
             return;
         }
-        let mut peers: Vec<(VmName, u64)> = self
-            .state
-            .borrow()
-            .members
-            .live(now_ms)
-            .map(|(vm, member)| (vm.clone(), member.entry.start))
-            .collect();
-        peers.sort_unstable();
-        for (vm, lender_start) in chosen.into_iter().filter_map(|index| peers.get(index)) {
-            let (id, tokens) =
-                self.lending
-                    .borrow_mut()
-                    .ask(organisation, vm, *lender_start, missing);
+        lending.ask_silent_last(&mut lenders, now_ms);
+        let missing = self.state.borrow_mut().missing_tokens(organisation);
+        for vm in chosen.into_iter().filter_map(|index| lenders.get(index)) {
+            let Some(lender_start) = self.state.borrow().members.start_of(vm) else {
+                continue;
+            };
+            let (id, tokens) = lending.ask(organisation, vm, lender_start, missing, now_ms);
             let message = PeerMessage::AskLoan {
                 id,
-                lender_start: *lender_start,
+                lender_start,
                 organisation: organisation.clone(),
                 tokens,
             };
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -3,6 +3,8 @@
 use displaydoc::Display;
 use toucan_types::{OrganisationName, TargetName, Tokens, VmName};
 
+use super::TransferId;
+
 /// Length of the message authentication code at the start of a datagram.
 const MAC_BYTES: usize = 16;
 
@@ -38,6 +40,22 @@
         /// Tokens lent, zero if the sender has none to spare.
         tokens: Tokens,
     },
+    /// Gives idle tokens, which the sender no longer holds, to a holder.
+    Transfer {
+        /// Id of the transfer.
+        id: TransferId,
+        /// Start of the process that receives the tokens.
+        receiver_start: u64,
+        /// Organisation whose tokens are transferred.
+        organisation: OrganisationName,
+        /// Tokens transferred.
+        tokens: Tokens,
+    },
+    /// Acknowledges a transfer.
+    TransferReceived {
+        /// Id of the transfer.
+        id: TransferId,
+    },
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/peers/lending.rs
+++ b/crates/toucan_gateway/src/peers/lending.rs
@@ -9,10 +9,18 @@
 /// Maximum number of requests and of loans that are kept, so that a repeated request gets the same
 /// answer.
 const MAX_REMEMBERED: usize = 4_096;
-/// Minimum time between two rounds of requests for one organisation.
+/// Time after which the next gateways are asked if those of the previous round have not answered.
 const ROUND_INTERVAL_MS: u64 = 30;
-/// Maximum number of gateways asked in one round.
+/// Time after its last round at which a tour of the lenders begins again.
+const TOUR_INTERVAL_MS: u64 = 200;
+/// Maximum number of gateways asked in one round. The first round asks only the best lender.
 const PEERS_PER_ROUND: usize = 3;
+/// Time without an answer after which a gateway is asked last.
+const SILENT_AFTER_MS: u64 = 40;
+/// Time after which a gateway that did not answer is asked in its usual place again.
+const SILENCE_EXPIRY_MS: u64 = 1_000;
+/// Number of gateways above which expired silences are removed.
+const MAX_SILENCES: usize = 1_024;
 /// Largest fraction of its available tokens that a gateway lends in one loan.
 const MAX_LENT_FRACTION: f64 = 0.5;
 
@@ -26,9 +34,12 @@
     pending: FastHashMap<LoanId, PendingRequest>,
     pending_order: VecDeque<LoanId>,
     pending_by_lender: FastHashMap<(OrganisationName, VmName), LoanId>,
-    loans: FastHashMap<LoanKey, Tokens>,
+    /// Loans that were given; [`None`] for a request whose answer is being prepared.
+    loans: FastHashMap<LoanKey, Option<Tokens>>,
     loan_order: VecDeque<LoanKey>,
     rounds: FastHashMap<OrganisationName, Round>,
+    /// When each gateway that owes an answer was first asked for it.
+    unanswered_since_ms: FastHashMap<VmName, u64>,
 }
 
 /// A loan request that has not been answered.
@@ -44,13 +55,18 @@
 struct Round {
     started_ms: u64,
     next_peer: usize,
+    /// Whether the tour has reached the last lender.
+    is_last: bool,
+    /// Number of requests of the round that have not been answered.
+    unanswered: usize,
 }
 
 impl Lending {
-    /// Returns the positions of the gateways to ask now, out of `peers` gateways, in round-robin
-    /// order.
+    /// Returns the positions of the gateways to ask now, out of `peers` gateways in the order of
+    /// preference.
     ///
-    /// Empty if the previous round was too recent.
+    /// The rounds of a tour ask one gateway after the other. Empty if the previous round was recent
+    /// and has not been answered, or if the tour is over and the next one is not due.
     pub fn next_round(
         &mut self,
         organisation: &OrganisationName,
@@ -61,16 +77,50 @@
             return Vec::new();
         }
         let round = self.rounds.entry(organisation.clone()).or_default();
-        if round.started_ms != 0 && now_ms < round.started_ms + ROUND_INTERVAL_MS {
+        let is_first = round.started_ms == 0 || now_ms >= round.started_ms + TOUR_INTERVAL_MS;
+        if !is_first && (round.is_last || round.is_waiting(now_ms)) {
             return Vec::new();
         }
+        let first_peer = if is_first {
+            0
+        } else {
+            round.next_peer.min(peers - 1)
+        };
+        let count = if is_first {
+            1
+        } else {
+            PEERS_PER_ROUND.min(peers - first_peer)
+        };
         round.started_ms = now_ms;
-        let first_peer = round.next_peer;
-        let count = PEERS_PER_ROUND.min(peers);
-        round.next_peer = (first_peer + count) % peers;
-        (first_peer..first_peer + count)
-            .map(|at| at % peers)
-            .collect()
+        round.next_peer = first_peer + count;
+        round.is_last = round.next_peer >= peers;
+        round.unanswered = count;
+        (first_peer..first_peer + count).collect()
+    }
+
+    /// Returns whether a recent tour has asked all lenders in vain.
+    #[must_use]
+    pub fn is_tour_over(&self, organisation: &OrganisationName, now_ms: u64) -> bool {
+        self.rounds.get(organisation).is_some_and(|round| {
+            round.is_last
+                && !round.is_waiting(now_ms)
+                && now_ms < round.started_ms + TOUR_INTERVAL_MS
+        })
+    }
+
+    /// Moves the gateways that owe an answer for some time to the end of `lenders`.
+    pub fn ask_silent_last(&mut self, lenders: &mut [VmName], now_ms: u64) {
+        if self.unanswered_since_ms.len() > MAX_SILENCES {
+            self.unanswered_since_ms
+                .retain(|_vm, since_ms| now_ms < *since_ms + SILENCE_EXPIRY_MS);
+        }
+        lenders.sort_by_key(|vm| self.is_silent(vm, now_ms));
+    }
+
+    fn is_silent(&self, vm: &VmName, now_ms: u64) -> bool {
+        self.unanswered_since_ms.get(vm).is_some_and(|since_ms| {
+            now_ms >= since_ms + SILENT_AFTER_MS && now_ms < since_ms + SILENCE_EXPIRY_MS
+        })
     }
 
     /// Returns the request to send to a lender: the unanswered one, or else a new one.
@@ -82,7 +132,15 @@
         lender: &VmName,
         lender_start_id: u64,
         tokens: Tokens,
+        now_ms: u64,
     ) -> (LoanId, Tokens) {
+        let since_ms = self
+            .unanswered_since_ms
+            .entry(lender.clone())
+            .or_insert(now_ms);
+        if now_ms >= *since_ms + SILENCE_EXPIRY_MS {
+            *since_ms = now_ms;
+        }
         let lender_key = (organisation.clone(), lender.clone());
         if let Some(id) = self.pending_by_lender.get(&lender_key)
             && let Some(request) = self.pending.get(id)
@@ -103,8 +161,12 @@
         self.pending_order.push_back(id);
         if self.pending_order.len() > MAX_REMEMBERED
             && let Some(oldest) = self.pending_order.pop_front()
+            && let Some(request) = self.pending.remove(&oldest)
         {
-            self.pending.remove(&oldest);
+            let lender_key = (request.organisation, request.lender);
+            if self.pending_by_lender.get(&lender_key) == Some(&oldest) {
+                self.pending_by_lender.remove(&lender_key);
+            }
         }
         (id, tokens)
     }
@@ -123,6 +185,10 @@
                 && request.lender_start_id == lender_start_id
         });
         if is_pending {
+            self.unanswered_since_ms.remove(lender);
+            if let Some(round) = self.rounds.get_mut(organisation) {
+                round.unanswered = round.unanswered.saturating_sub(1);
+            }
             self.pending.remove(&id);
             self.pending_by_lender
                 .remove(&(organisation.clone(), lender.clone()));
@@ -133,12 +199,27 @@
     /// Returns the loan that an earlier copy of the request got.
     #[must_use]
     pub fn previous_loan(&self, key: &(VmName, u64, LoanId)) -> Option<Tokens> {
-        self.loans.get(key).copied()
+        self.loans.get(key).copied().flatten()
+    }
+
+    /// Records that a request is being answered; returns false if an earlier copy of it is.
+    pub fn begin_answer(&mut self, key: &(VmName, u64, LoanId)) -> bool {
+        if self.loans.contains_key(key) {
+            return false;
+        }
+        self.remember(key.clone(), None);
+        true
     }
 
     /// Records a loan, so that a repeated request gets the same one.
     pub fn record_loan(&mut self, key: (VmName, u64, LoanId), tokens: Tokens) {
-        self.loans.insert(key.clone(), tokens);
+        self.remember(key, Some(tokens));
+    }
+
+    fn remember(&mut self, key: LoanKey, answer: Option<Tokens>) {
+        if self.loans.insert(key.clone(), answer).is_some() {
+            return;
+        }
         self.loan_order.push_back(key);
         if self.loan_order.len() > MAX_REMEMBERED
             && let Some(oldest) = self.loan_order.pop_front()
@@ -148,6 +229,13 @@
     }
 }
 
+impl Round {
+    /// Returns whether an answer to the round may still arrive.
+    const fn is_waiting(&self, now_ms: u64) -> bool {
+        self.unanswered > 0 && now_ms < self.started_ms + ROUND_INTERVAL_MS
+    }
+}
+
 /// Returns how many of its available tokens a gateway lends.
 ///
 /// It lends all that is requested if that is at most half of what it holds beyond one second of its
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use toucan_types::{FastHashMap, VmName};
+use toucan_types::{DataCentreName, FastHashMap, VmName};
 
 /// Time after its last datagram or its registration for which a gateway counts as live.
 const LIVENESS_TIMEOUT_MS: u64 = 5_000;
@@ -19,6 +19,8 @@
     pub address: SocketAddrV4,
     /// Key that authenticates its datagrams.
     pub key: [u8; 32],
+    /// Data centre of its VM.
+    pub data_centre: DataCentreName,
 }
 
 /// Another gateway, as seen by this one.
@@ -69,6 +71,18 @@
         self.by_vm.get_mut(vm)
     }
 
+    /// Returns the random identifier of a gateway's start.
+    pub(crate) fn start_of(&self, vm: &VmName) -> Option<u64> {
+        self.by_vm.get(vm).map(|member| member.entry.start)
+    }
+
+    /// Returns whether a gateway is known to be in a data centre.
+    pub(crate) fn is_in_data_centre(&self, vm: &VmName, data_centre: &DataCentreName) -> bool {
+        self.by_vm
+            .get(vm)
+            .is_some_and(|member| member.entry.data_centre == *data_centre)
+    }
+
     /// Returns all other gateways.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (&VmName, &Member)> {
         self.by_vm.iter()
@@ -82,19 +96,27 @@
     /// serving calls.
     #[must_use]
     pub fn process_count(&self, now_ms: u64) -> u32 {
-        let registered = 1 + self.count_seen_within(MEMBER_EXPIRY_MS, now_ms);
-        let live = 1 + self.count_seen_within(LIVENESS_TIMEOUT_MS, now_ms);
-        if live * 2 > registered {
-            live
+        let others = u32::try_from(self.counted(now_ms).count());
+        others.map_or(u32::MAX, |others| others.saturating_add(1))
+    }
+
+    /// Returns the other gateways that [`Self::process_count`] counts.
+    pub(crate) fn counted(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
+        let registered = 1 + self.seen_within(MEMBER_EXPIRY_MS, now_ms).count();
+        let live = 1 + self.seen_within(LIVENESS_TIMEOUT_MS, now_ms).count();
+        let hears_majority = live * 2 > registered;
+        let max_age_ms = if hears_majority {
+            LIVENESS_TIMEOUT_MS
         } else {
-            registered
-        }
+            MEMBER_EXPIRY_MS
+        };
+        self.seen_within(max_age_ms, now_ms)
     }
 
-    fn count_seen_within(&self, age_ms: u64, now_ms: u64) -> u32 {
-        let members = self.by_vm.values();
-        let seen = members.filter(|member| now_ms.saturating_sub(member.last_seen_ms) <= age_ms);
-        u32::try_from(seen.count()).unwrap_or(u32::MAX - 1)
+    fn seen_within(&self, age_ms: u64, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
+        self.by_vm
+            .iter()
+            .filter(move |(_vm, member)| now_ms.saturating_sub(member.last_seen_ms) <= age_ms)
     }
 
     /// Returns whether another gateway is live.
@@ -106,8 +128,6 @@
 
     /// Returns the live gateways, without this one.
     pub(crate) fn live(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
-        self.by_vm
-            .iter()
-            .filter(move |(_vm, member)| member.is_live(now_ms))
+        self.seen_within(LIVENESS_TIMEOUT_MS, now_ms)
     }
 }
--- a/crates/toucan_gateway/src/peers/mod.rs
+++ b/crates/toucan_gateway/src/peers/mod.rs
@@ -5,9 +5,13 @@
 //! them.
 
 mod datagram;
+mod holders;
 mod lending;
 mod member;
+mod transfers;
 
 pub use datagram::{Datagram, DatagramError, LoanId, PeerMessage, TargetCalls};
+pub use holders::GatewayLocation;
 pub use lending::{Lending, loan_size};
 pub use member::{Member, MemberEntry, Members};
+pub use transfers::{PendingTransfer, TransferId, Transfers};
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -13,4 +13,5 @@
 mod serve_call;
 
 pub(crate) use connection_pool::{ConnectionPool, TargetConnection};
+pub(crate) use reserve_tokens::{TokenWait, WaitKind};
 pub(crate) use serve_call::serve_call;
--- a/crates/toucan_gateway/src/serving/reserve_tokens.rs
+++ b/crates/toucan_gateway/src/serving/reserve_tokens.rs
@@ -6,7 +6,10 @@
 use toucan_types::{OrganisationName, Tokens};
 
 use crate::{
-    Gateway, Platform, Refusal, budget::ReserveError, config::Organisation, state::GatewayState,
+    Gateway, Platform, Refusal,
+    budget::ReserveError,
+    config::Organisation,
+    state::{GatewayState, WaitingTokens},
 };
 
 /// Maximum wait for tokens from the store or from other VMs.
@@ -17,6 +20,9 @@
 const MAX_WAIT_IF_FULLY_GRANTED_MS: u64 = 90;
 /// Time after such a refusal for which calls for at least as many tokens are refused at once.
 const SHORTAGE_TTL_MS: u64 = 500;
+/// Wait after which a gateway that holds no tokens of the organisation draws the call's tokens
+/// itself, because none of those that do has lent them.
+const MAX_LOAN_WAIT_MS: u64 = 60;
 /// Interval at which a waiting call tries again to reserve its tokens.
 const POLL_INTERVAL: Duration = Duration::from_millis(30);
 
@@ -37,7 +43,7 @@
         .borrow_mut()
         .wallet(name)
         .record_demand(tokens, began_ms);
-    let mut waiting: Option<TokenWait<'_, P>> = None;
+    let mut waiting: Option<TokenWait<P>> = None;
     loop {
         let shortage = match gateway.state.borrow_mut().wallet(name).reserve(tokens) {
             Ok(()) => return Ok(()),
@@ -47,14 +53,18 @@
         if gateway.is_budget_exhausted(name, tokens, began_ms) {
             return Err((Refusal::BudgetSpent, "the store's records leave too little"));
         }
-        let refused = wait_refusal(
-            &gateway.state.borrow(),
-            name,
-            tokens,
-            began_ms,
-            deadline_ms,
-            now_ms,
-        );
+        let refused = if gateway.is_loan_hopeless(name) {
+            Some(hopeless_refusal(&gateway.state.borrow()))
+        } else {
+            wait_refusal(
+                &gateway.state.borrow(),
+                name,
+                tokens,
+                began_ms,
+                deadline_ms,
+                now_ms,
+            )
+        };
         if let Some((refusal, reason)) = refused {
             log_shortage(gateway, organisation, tokens, now_ms);
             if refusal == Refusal::BudgetInUse {
@@ -65,18 +75,38 @@
             }
             return Err((refusal, reason));
         }
-        if waiting.is_none() {
-            waiting = Some(TokenWait::begin(gateway, organisation, tokens));
+        let wait =
+            waiting.get_or_insert_with(|| TokenWait::begin(gateway, name, tokens, WaitKind::Local));
+        let is_overdue = now_ms.saturating_sub(began_ms) >= MAX_LOAN_WAIT_MS;
+        if is_overdue {
+            wait.mark_overdue();
         }
-        if let ReserveError::Insufficient(missing) = shortage {
-            gateway.request_loans(name, missing);
+        if matches!(shortage, ReserveError::Insufficient(_)) {
+            gateway.request_loans(name);
+        }
+        if is_overdue || gateway.is_holder(name) {
+            gateway.sync_requested.notify_one();
         }
-        gateway.sync_requested.notify_one();
         // The loop tries again whether the wait ended by a notification or by the timeout.
         let _elapsed = timeout(POLL_INTERVAL, gateway.tokens_changed.notified()).await;
     }
 }
 
+/// Returns the refusal of a call for which neither the store nor another gateway has tokens.
+const fn hopeless_refusal(state: &GatewayState) -> (Refusal, &'static str) {
+    if state.grants_unreachable {
+        (
+            Refusal::BudgetNotReachable,
+            "the store cannot be reached and other VMs have none left",
+        )
+    } else {
+        (
+            Refusal::BudgetInUse,
+            "the store and other VMs have none left",
+        )
+    }
+}
+
 /// Returns the refusal and its reason if a call that lacks tokens should not wait any longer.
 fn wait_refusal(
     state: &GatewayState,
@@ -134,35 +164,81 @@
     );
 }
 
+/// Whose call waits for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WaitKind {
+    /// A call to this gateway.
+    Local,
+    /// A call to another gateway, which has asked this one for a loan.
+    Remote,
+}
+
 /// Guard that includes a call's tokens in the organisation's waiting tokens until it is dropped.
-struct TokenWait<'a, P: Platform> {
-    gateway: &'a Rc<Gateway<P>>,
-    organisation: &'a Organisation,
+pub(crate) struct TokenWait<P: Platform> {
+    gateway: Rc<Gateway<P>>,
+    organisation: OrganisationName,
     tokens: Tokens,
+    kind: WaitKind,
+    is_overdue: bool,
 }
 
-impl<'a, P: Platform> TokenWait<'a, P> {
-    fn begin(gateway: &'a Rc<Gateway<P>>, organisation: &'a Organisation, tokens: Tokens) -> Self {
-        let mut state = gateway.state.borrow_mut();
-        let sum = state
-            .waiting_tokens
-            .entry(organisation.name.clone())
-            .or_default();
-        *sum = sum.saturating_add(tokens);
-        drop(state);
-        Self {
-            gateway,
-            organisation,
+impl<P: Platform> TokenWait<P> {
+    /// Adds the tokens to those that are waited for.
+    pub(crate) fn begin(
+        gateway: &Rc<Gateway<P>>,
+        organisation: &OrganisationName,
+        tokens: Tokens,
+        kind: WaitKind,
+    ) -> Self {
+        let wait = Self {
+            gateway: Rc::clone(gateway),
+            organisation: organisation.clone(),
             tokens,
+            kind,
+            is_overdue: false,
+        };
+        wait.update(|waiting| {
+            let sum = wait.sum(waiting);
+            *sum = sum.saturating_add(tokens);
+        });
+        wait
+    }
+
+    /// Adds the tokens to those that this gateway draws even if it is no holder.
+    fn mark_overdue(&mut self) {
+        if self.is_overdue {
+            return;
+        }
+        self.is_overdue = true;
+        self.update(|waiting| waiting.overdue = waiting.overdue.saturating_add(self.tokens));
+    }
+
+    fn sum<'a>(&self, waiting: &'a mut WaitingTokens) -> &'a mut Tokens {
+        match self.kind {
+            WaitKind::Local => &mut waiting.local,
+            WaitKind::Remote => &mut waiting.remote,
         }
     }
+
+    fn update(&self, change: impl FnOnce(&mut WaitingTokens)) {
+        let mut state = self.gateway.state.borrow_mut();
+        change(
+            state
+                .waiting_tokens
+                .entry(self.organisation.clone())
+                .or_default(),
+        );
+    }
 }
 
-impl<P: Platform> Drop for TokenWait<'_, P> {
+impl<P: Platform> Drop for TokenWait<P> {
     fn drop(&mut self) {
-        let mut state = self.gateway.state.borrow_mut();
-        if let Some(sum) = state.waiting_tokens.get_mut(&self.organisation.name) {
+        self.update(|waiting| {
+            let sum = self.sum(waiting);
             *sum = sum.saturating_sub(self.tokens);
-        }
+            if self.is_overdue {
+                waiting.overdue = waiting.overdue.saturating_sub(self.tokens);
+            }
+        });
     }
 }
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -8,7 +8,7 @@
 use crate::{
     budget::Wallet,
     config::FleetConfig,
-    peers::Members,
+    peers::{GatewayLocation, Members},
     placement::TargetTable,
     retries::{initial_retry_budget, retry_share},
     settings::Bounds,
@@ -18,6 +18,10 @@
 /// readiness once a second and notices a VM that is not ready within two probes.
 pub(crate) const SHUTDOWN_ACCEPT_MS: u64 = 2_500;
 
+/// Maximum age of a record that shows a budget as fully granted. Later, other gateways may have
+/// returned tokens, or the organisation may have paid for more.
+const FULLY_GRANTED_MAX_AGE_MS: u64 = 500;
+
 /// Everything that decisions are based on. It holds no sockets and reads no clock.
 #[derive(Debug, Default)]
 pub(crate) struct GatewayState {
@@ -27,12 +31,16 @@
     pub(crate) targets: TargetTable,
     /// Whether the targets have been read at least once.
     pub(crate) targets_loaded: bool,
+    /// Whether the other gateways have been read at least once.
+    pub(crate) members_loaded: bool,
+    /// Whether the last synchronisation of the wallets with the store failed.
+    pub(crate) grants_unreachable: bool,
     /// Whether the grants have been read at least once.
     pub(crate) grants_loaded: bool,
     /// Wallet of each organisation.
     pub(crate) wallets: FastHashMap<OrganisationName, Wallet>,
     /// Tokens that calls are waiting for, by organisation.
-    pub(crate) waiting_tokens: FastHashMap<OrganisationName, Tokens>,
+    pub(crate) waiting_tokens: FastHashMap<OrganisationName, WaitingTokens>,
     /// Totals of each budget, as last read from the store.
     pub(crate) budget_snapshots: FastHashMap<OrganisationName, BudgetSnapshot>,
     /// Last shortage of each organisation.
@@ -47,6 +55,17 @@
     pub(crate) calls_in_progress: u32,
 }
 
+/// Tokens of one organisation that calls are waiting for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct WaitingTokens {
+    /// Tokens that calls to this gateway need.
+    pub(crate) local: Tokens,
+    /// Tokens that calls to other gateways need, which asked this one for a loan.
+    pub(crate) remote: Tokens,
+    /// The part of `local` whose calls have waited too long for a loan.
+    pub(crate) overdue: Tokens,
+}
+
 /// Totals of one budget, as read from the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct BudgetSnapshot {
@@ -114,6 +133,42 @@
         self.remaining_accept_ms(now_ms) == Some(0)
     }
 
+    /// Returns the tokens of an organisation that calls to this gateway wait for and that its
+    /// wallet lacks.
+    pub(crate) fn missing_tokens(&mut self, organisation: &OrganisationName) -> Tokens {
+        let waiting = self.waiting(organisation).local;
+        waiting.saturating_sub(self.wallet(organisation).available())
+    }
+
+    /// Returns the tokens of an organisation that calls are waiting for.
+    pub(crate) fn waiting(&self, organisation: &OrganisationName) -> WaitingTokens {
+        self.waiting_tokens
+            .get(organisation)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns whether the store has granted the whole budget of an organisation, as far as was
+    /// read recently.
+    pub(crate) fn is_fully_granted(&self, organisation: &OrganisationName, now_ms: u64) -> bool {
+        self.budget_snapshots
+            .get(organisation)
+            .is_some_and(|snapshot| {
+                snapshot.granted >= snapshot.prepaid
+                    && now_ms <= snapshot.read_at_ms + FULLY_GRANTED_MAX_AGE_MS
+            })
+    }
+
+    /// Returns whether this gateway holds tokens of an organisation for its data centre.
+    pub(crate) fn is_holder(
+        &self,
+        organisation: &OrganisationName,
+        location: &GatewayLocation,
+        now_ms: u64,
+    ) -> bool {
+        self.members_loaded && self.members.is_holder(organisation, location, now_ms)
+    }
+
     /// Returns the wallet of an organisation, creating an empty one if there is none.
     pub(crate) fn wallet(&mut self, organisation: &OrganisationName) -> &mut Wallet {
         self.wallets.entry(organisation.clone()).or_default()
--- a/crates/toucan_gateway/src/tasks/grant_sync.rs
+++ b/crates/toucan_gateway/src/tasks/grant_sync.rs
@@ -6,7 +6,7 @@
 use displaydoc::Display;
 use rand::Rng;
 use tokio::time::{sleep, timeout};
-use toucan_types::{OrganisationName, Tokens};
+use toucan_types::OrganisationName;
 
 use crate::{
     Gateway, Platform,
@@ -28,8 +28,8 @@
 /// Maximum number of conditional appends per synchronisation. Each conflict means that another
 /// process has appended.
 const MAX_APPEND_ATTEMPTS: u32 = 8;
-/// Maximum delay after the first conflict, per process that may append.
-const CONFLICT_BACKOFF_PER_PROCESS_MS: u64 = 1;
+/// Maximum delay after the first conflict, per gateway that holds tokens of one organisation.
+const CONFLICT_BACKOFF_PER_WRITER_MS: u64 = 1;
 /// Maximum number of times that the delay doubles after further conflicts. It is low because calls
 /// wait for the tokens.
 const MAX_BACKOFF_DOUBLINGS: u32 = 1;
@@ -73,11 +73,15 @@
         let pause = match sync_partitions(&gateway, &mut partitions).await {
             Ok(()) => {
                 health.record_success(gateway.now_ms());
+                gateway.state.borrow_mut().grants_unreachable = false;
                 // Waiting calls request synchronisations more often than the store changes.
                 sleep(MIN_SYNC_INTERVAL).await;
                 SYNC_INTERVAL
             }
-            Err(error) => health.record_failure(&error, gateway.now_ms()),
+            Err(error) => {
+                gateway.state.borrow_mut().grants_unreachable = true;
+                health.record_failure(&error, gateway.now_ms())
+            }
         };
         if gateway.state.borrow().stopping_since_ms.is_none() {
             gateway.tokens_changed.notify_waiters();
@@ -138,10 +142,10 @@
     Ok(())
 }
 
-/// Returns the maximum delay after a conflict, which grows with the number of processes so that
+/// Returns the maximum delay after a conflict, which grows with the number of writers so that
 /// their appends are spread over time.
-fn max_conflict_backoff_ms(conflicts: u32, processes: u32) -> u64 {
-    let initial_ms = CONFLICT_BACKOFF_PER_PROCESS_MS * u64::from(processes.max(1));
+fn max_conflict_backoff_ms(conflicts: u32, writers: u32) -> u64 {
+    let initial_ms = CONFLICT_BACKOFF_PER_WRITER_MS * u64::from(writers.max(1));
     initial_ms << conflicts.min(MAX_BACKOFF_DOUBLINGS)
 }
 
@@ -172,9 +176,8 @@
     ) -> bool {
         let now_ms = gateway.now_ms();
         let state = &mut *gateway.state.borrow_mut();
-        let processes = state.members.process_count(now_ms);
         organisations.iter().any(|organisation| {
-            let Some(snapshot) = self.organisation_snapshot(state, organisation, processes, now_ms)
+            let Some(snapshot) = self.organisation_snapshot(gateway, state, organisation, now_ms)
             else {
                 return false;
             };
@@ -224,12 +227,12 @@
                 }
                 Err(AppendError::Conflict(_)) => {
                     metrics::counter!("toucan_grant_races_total").increment(1);
-                    let processes = gateway
+                    let writers = gateway
                         .state
                         .borrow()
                         .members
-                        .process_count(gateway.now_ms());
-                    let max_backoff_ms = max_conflict_backoff_ms(conflicts, processes);
+                        .holder_count(&gateway.location, gateway.now_ms());
+                    let max_backoff_ms = max_conflict_backoff_ms(conflicts, writers);
                     let backoff_ms = rand::rng().random_range(0..max_backoff_ms);
                     sleep(Duration::from_millis(backoff_ms)).await;
                 }
@@ -277,11 +280,10 @@
     ) -> Result<Vec<KeyedRecord>, GrantError> {
         let now_ms = gateway.now_ms();
         let state = &mut *gateway.state.borrow_mut();
-        let processes = state.members.process_count(now_ms);
         let mut records = Vec::new();
         for organisation in organisations {
             let name = &organisation.name;
-            let Some(snapshot) = self.organisation_snapshot(state, organisation, processes, now_ms)
+            let Some(snapshot) = self.organisation_snapshot(gateway, state, organisation, now_ms)
             else {
                 continue;
             };
@@ -306,7 +308,8 @@
                     waiting_tokens = snapshot.waiting.0,
                     rate_per_s = record.rate_per_s,
                     others_rate_per_s = snapshot.others_rate_per_s,
-                    processes = snapshot.processes,
+                    is_holder = snapshot.is_holder,
+                    holders = snapshot.holders,
                     prepaid_tokens = record.prepaid.0,
                     granted_to_all_tokens = self.grants.granted(name).0;
                     "grant decided"
@@ -354,23 +357,26 @@
         Ok(())
     }
 
-    fn organisation_snapshot(
+    fn organisation_snapshot<P: Platform>(
         &self,
+        gateway: &Gateway<P>,
         state: &GatewayState,
         organisation: &Organisation,
-        processes: u32,
         now_ms: u64,
     ) -> Option<OrganisationSnapshot> {
         let name = &organisation.name;
+        let is_holder = state.is_holder(name, &gateway.location, now_ms);
+        let waiting = state.waiting(name);
         Some(OrganisationSnapshot {
             config_version: state.config.as_ref()?.version,
             prepaid: organisation.prepaid?,
-            waiting: state
-                .waiting_tokens
-                .get(name)
-                .copied()
-                .unwrap_or(Tokens::ZERO),
-            processes,
+            waiting: if is_holder {
+                waiting.local.saturating_add(waiting.remote)
+            } else {
+                waiting.overdue
+            },
+            is_holder,
+            holders: state.members.holder_count(&gateway.location, now_ms),
             others_rate_per_s: self
                 .grants
                 .rate_per_s(name, |vm| state.members.is_live(vm, now_ms)),
--- a/crates/toucan_gateway/src/tasks/membership.rs
+++ b/crates/toucan_gateway/src/tasks/membership.rs
@@ -36,6 +36,7 @@
                 for read in &consumed.batch.records {
                     apply_record(&gateway, read);
                 }
+                gateway.state.borrow_mut().members_loaded = true;
             }
             Err(error) => sleep(health.record_failure(&error, gateway.now_ms())).await,
         }
--- a/crates/toucan_gateway/src/tasks/shutdown.rs
+++ b/crates/toucan_gateway/src/tasks/shutdown.rs
@@ -7,10 +7,14 @@
 
 use crate::{Gateway, Platform, serving::http_listener::ListenerState, state::SHUTDOWN_ACCEPT_MS};
 
-use super::{grant_sync::return_idle_tokens, membership::deregister};
+use super::{
+    grant_sync::return_idle_tokens, membership::deregister, peer_exchange::give_back_idle_tokens,
+};
 
 /// Fraction of the time until the process is killed in which calls may complete.
 const DRAIN_FRACTION: f64 = 0.9;
+/// Time for which borrowed tokens are offered to a holder.
+const GIVE_BACK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for deregistering this gateway. If it fails, the others detect its absence later.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Minimum timeout for returning tokens, used if calls were in progress until the end.
@@ -45,6 +49,7 @@
     if returned.is_err() {
         log::warn!(target: "budget", "idle tokens were not returned, the store did not answer");
     }
+    give_back_borrowed_tokens(gateway).await;
     match timeout(DEREGISTER_TIMEOUT, deregister(gateway)).await {
         Ok(Ok(())) => {}
         Ok(Err(error)) => log::warn!(target: "members", error:% = error; "deregistration failed"),
@@ -61,3 +66,20 @@
     );
     cut_off
 }
+
+/// Gives borrowed tokens, which cannot be returned to the store, to another holder.
+async fn give_back_borrowed_tokens<P: Platform>(gateway: &Rc<Gateway<P>>) {
+    let deadline_ms = gateway.now_ms() + GIVE_BACK_TIMEOUT.as_millis() as u64;
+    loop {
+        let now_ms = gateway.now_ms();
+        give_back_idle_tokens(gateway, now_ms);
+        if gateway.transfers.borrow().is_complete() {
+            return;
+        }
+        if now_ms >= deadline_ms {
+            log::warn!(target: "budget", "borrowed tokens are lost, no holder has confirmed them");
+            return;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
--- a/crates/toucan_gateway/tests/budget_histories.rs
+++ b/crates/toucan_gateway/tests/budget_histories.rs
@@ -1,13 +1,14 @@
 //! Property tests of processes that draw from one budget through an unreliable log.
 //!
-//! In the generated histories, answers are lost, appends are lost or delayed, loans are lost, and
-//! processes crash. The tokens spent must never exceed the prepaid total.
+//! In the generated histories, answers are lost, appends are lost or delayed, loans are lost,
+//! transfers are lost, repeated or delayed, processes are holders by turns, and processes crash. The tokens spent must never exceed the prepaid total.
 
 use proptest::prelude::*;
 use toucan_gateway::budget::{
     DrawSettings, GatewayProcess, GrantKey, GrantRecord, GrantTable, GrantWriter,
     OrganisationSnapshot, Wallet,
 };
+use toucan_gateway::peers::{PendingTransfer, Transfers};
 use toucan_types::{DocumentVersion, OrganisationName, Tokens, VmName};
 
 /// Prepaid tokens at the start, few enough that most histories use them up.
@@ -47,6 +48,7 @@
     grants: GrantTable,
     read: usize,
     wallet: Wallet,
+    transfers: Transfers,
     reserved: Vec<Tokens>,
 }
 
@@ -62,6 +64,7 @@
             grants: GrantTable::default(),
             read: 0,
             wallet: Wallet::default(),
+            transfers: Transfers::default(),
             reserved: Vec::new(),
         }
     }
@@ -104,6 +107,7 @@
         waiting: u64,
         outcome: AppendOutcome,
         is_stopping: bool,
+        is_holder: bool,
     },
     ApplyDelayed,
     Crash {
@@ -115,11 +119,29 @@
         tokens: u64,
         is_delivered: bool,
     },
+    /// Gives idle borrowed tokens to another process.
+    BeginTransfer {
+        from: usize,
+        to: usize,
+    },
+    /// Delivers a datagram that was sent earlier, again or for the first time.
+    DeliverTransfer {
+        datagram: usize,
+        is_acknowledged: bool,
+    },
     TopUp {
         tokens: u64,
     },
 }
 
+/// A datagram with a transfer, which may arrive more than once and late.
+#[derive(Clone)]
+struct TransferDatagram {
+    sender: GatewayProcess,
+    to: usize,
+    transfer: PendingTransfer,
+}
+
 const PROCESSES: usize = 4;
 
 fn step() -> impl Strategy<Value = Step> {
@@ -135,16 +157,22 @@
             .prop_map(|(process, tokens)| Step::Reserve { process, tokens }),
         5 => (process.clone(), 0..=1_000_u64)
             .prop_map(|(process, used_permille)| Step::Settle { process, used_permille }),
-        8 => (process.clone(), 0..1_500_u64, outcome, prop::bool::weighted(0.1)).prop_map(
-            |(process, waiting, outcome, is_stopping)| Step::Sync {
+        8 => (process.clone(), 0..1_500_u64, outcome, prop::bool::weighted(0.1), prop::bool::weighted(0.7)).prop_map(
+            |(process, waiting, outcome, is_stopping, is_holder)| Step::Sync {
                 process,
                 waiting,
                 outcome,
                 is_stopping,
+                is_holder,
             }
         ),
         2 => Just(Step::ApplyDelayed),
         1 => process.clone().prop_map(|process| Step::Crash { process }),
+        2 => (process.clone(), process.clone())
+            .prop_map(|(from, to)| Step::BeginTransfer { from, to }),
+        3 => (0..100_usize, any::<bool>()).prop_map(|(datagram, is_acknowledged)| {
+            Step::DeliverTransfer { datagram, is_acknowledged }
+        }),
         2 => (process.clone(), process, 1..900_u64, any::<bool>())
             .prop_map(|(from, to, tokens, is_delivered)| Step::Lend {
                 from,
@@ -165,6 +193,8 @@
     starts: u64,
     spent: u64,
     now_ms: u64,
+    /// All datagrams with transfers that were ever sent.
+    datagrams: Vec<TransferDatagram>,
 }
 
 impl Simulation {
@@ -180,6 +210,7 @@
             starts: PROCESSES as u64,
             spent: 0,
             now_ms: 0,
+            datagrams: Vec::new(),
         }
     }
 
@@ -211,8 +242,9 @@
                 waiting,
                 outcome,
                 is_stopping,
+                is_holder,
             } => {
-                self.sync(process, waiting, outcome, is_stopping);
+                self.sync(process, waiting, outcome, is_stopping, is_holder);
             }
             Step::ApplyDelayed => self.partition.apply_delayed(),
             Step::Crash { process } => self.crash(process),
@@ -227,6 +259,11 @@
                     self.processes[to].wallet.borrow_from_peer(loan);
                 }
             }
+            Step::BeginTransfer { from, to } => self.begin_transfer(from, to),
+            Step::DeliverTransfer {
+                datagram,
+                is_acknowledged,
+            } => self.deliver_transfer(datagram, is_acknowledged),
             Step::TopUp { tokens } => {
                 self.prepaid += tokens;
                 self.version += 1;
@@ -234,12 +271,20 @@
         }
     }
 
-    fn sync(&mut self, at: usize, waiting: u64, outcome: AppendOutcome, is_stopping: bool) {
+    fn sync(
+        &mut self,
+        at: usize,
+        waiting: u64,
+        outcome: AppendOutcome,
+        is_stopping: bool,
+        is_holder: bool,
+    ) {
         let snapshot = OrganisationSnapshot {
             config_version: DocumentVersion(self.version),
             prepaid: Tokens(self.prepaid),
             waiting: Tokens(waiting),
-            processes: PROCESSES as u32,
+            is_holder,
+            holders: PROCESSES as u32,
             others_rate_per_s: 1_000,
             remaining_accept_ms: is_stopping.then_some(0),
         };
@@ -282,6 +327,62 @@
         }
     }
 
+    fn begin_transfer(&mut self, from: usize, to: usize) {
+        let receiver = self.processes[to].id.clone();
+        let starts: Vec<GatewayProcess> = self.processes.iter().map(|p| p.id.clone()).collect();
+        let organisation = self.organisation.clone();
+        let process = &mut self.processes[from];
+        let idle = process
+            .wallet
+            .available()
+            .saturating_sub(process.wallet.returnable());
+        if from != to && process.transfers.is_idle(&receiver.vm) {
+            let tokens = process.wallet.lend(idle);
+            process
+                .transfers
+                .begin(receiver.vm, receiver.start_id, organisation, tokens);
+        }
+        let start_of = |vm: &VmName| {
+            let known = starts.iter().find(|process| process.vm == *vm);
+            known.map(|process| process.start_id)
+        };
+        for (vm, transfer) in process.transfers.to_send(start_of) {
+            let to = starts.iter().position(|process| process.vm == vm);
+            self.datagrams.push(TransferDatagram {
+                sender: process.id.clone(),
+                to: to.expect("transfers go to known processes"),
+                transfer,
+            });
+        }
+    }
+
+    fn deliver_transfer(&mut self, datagram: usize, is_acknowledged: bool) {
+        let Some(datagram) = self.datagrams.get(datagram).cloned() else {
+            return;
+        };
+        let sender = datagram.sender;
+        // Datagrams of an earlier start cannot be authenticated.
+        let Some(from) = self.processes.iter().position(|other| other.id == sender) else {
+            return;
+        };
+        let receiver = &mut self.processes[datagram.to];
+        let transfer = datagram.transfer;
+        if receiver.id.start_id != transfer.receiver_start {
+            return;
+        }
+        let is_new = receiver
+            .transfers
+            .accept(&sender.vm, sender.start_id, transfer.id);
+        if is_new {
+            receiver.wallet.borrow_from_peer(transfer.tokens);
+        }
+        if is_acknowledged {
+            let receiver_vm = receiver.id.vm.clone();
+            let sender = &mut self.processes[from];
+            sender.transfers.acknowledge(&receiver_vm, transfer.id);
+        }
+    }
+
     /// Replaces a process; the tokens that it had reserved may have been spent at the targets.
     fn crash(&mut self, at: usize) {
         let process = &mut self.processes[at];
@@ -318,7 +419,7 @@
         let mut simulation = Simulation::new();
         for (at, tokens) in sizes.iter().enumerate() {
             let process = at % PROCESSES;
-            simulation.sync(process, *tokens, AppendOutcome::Answered, false);
+            simulation.sync(process, *tokens, AppendOutcome::Answered, false, true);
             simulation.apply(Step::Reserve { process, tokens: *tokens });
             simulation.apply(Step::Settle { process, used_permille: 1_000 });
         }
--- a/crates/toucan_gateway/tests/budgets_lowered.rs
+++ b/crates/toucan_gateway/tests/budgets_lowered.rs
@@ -11,7 +11,8 @@
         config_version: DocumentVersion(version),
         prepaid: Tokens(prepaid),
         waiting: Tokens(500),
-        processes: 1,
+        is_holder: true,
+        holders: 1,
         others_rate_per_s: 0,
         remaining_accept_ms: None,
     }
--- a/crates/toucan_gateway/tests/draw_sizing.rs
+++ b/crates/toucan_gateway/tests/draw_sizing.rs
@@ -8,11 +8,14 @@
     DrawInput {
         prepaid: Tokens(1_000_000),
         granted_to_all: Tokens(200_000),
+        spent_by_all: Tokens(200_000),
         available: Tokens(0),
+        returnable: Tokens(0),
+        is_holder: true,
         waiting: Tokens(0),
         rate_per_s: 1_000.0,
         others_rate_per_s: 7_000.0,
-        processes: 8,
+        holders: 8,
         remaining_accept_ms: None,
     }
 }
@@ -56,6 +59,7 @@
     let at_start = drawn_tokens(&input());
     let near_end = drawn_tokens(&DrawInput {
         granted_to_all: Tokens(980_000),
+        spent_by_all: Tokens(980_000),
         ..input()
     });
     assert!(near_end * 4 < at_start, "{near_end} against {at_start}");
@@ -66,6 +70,7 @@
 fn decision_for_surplus(available: u64, waiting: u64) -> DrawDecision {
     let input = DrawInput {
         available: Tokens(available),
+        returnable: Tokens(available),
         waiting: Tokens(waiting),
         ..input()
     };
@@ -77,6 +82,7 @@
     let input = DrawInput {
         prepaid: Tokens(100_000),
         available: Tokens(700),
+        returnable: Tokens(700),
         ..input()
     };
     let decision = decide_draw(&input, &DrawSettings::default());
@@ -87,6 +93,7 @@
 fn stopping_process_keeps_only_what_its_last_calls_need() {
     let input = DrawInput {
         available: Tokens(100_000),
+        returnable: Tokens(100_000),
         remaining_accept_ms: Some(2_500),
         ..input()
     };
@@ -100,6 +107,7 @@
     let prepaid = 1_000_000.0;
     let input = DrawInput {
         granted_to_all: Tokens((prepaid * spent_fraction) as u64),
+        spent_by_all: Tokens((prepaid * spent_fraction) as u64),
         rate_per_s: 2_500.0,
         others_rate_per_s: 17_500.0,
         ..input()
@@ -128,3 +136,61 @@
     let covered = held_fraction(0.45);
     assert!(covered >= OUTAGE_FRACTION * 0.75, "{covered}");
 }
+
+#[test]
+fn gateway_that_is_no_holder_draws_only_for_calls_that_wait() {
+    let input = DrawInput {
+        is_holder: false,
+        waiting: Tokens(3_000),
+        ..input()
+    };
+    assert_eq!(drawn_tokens(&input), 3_000);
+    let input = DrawInput {
+        waiting: Tokens(0),
+        ..input
+    };
+    assert_eq!(drawn_tokens(&input), 0);
+}
+
+#[test]
+fn gateway_that_is_no_longer_a_holder_returns_what_it_drew() {
+    let input = DrawInput {
+        is_holder: false,
+        available: Tokens(900),
+        returnable: Tokens(600),
+        ..input()
+    };
+    let decision = decide_draw(&input, &DrawSettings::default());
+    assert_eq!(decision, DrawDecision::Return(Tokens(600)));
+}
+
+#[test]
+fn borrowed_tokens_are_not_returned_to_the_store() {
+    let input = DrawInput {
+        is_holder: false,
+        available: Tokens(900),
+        ..input()
+    };
+    let decision = decide_draw(&input, &DrawSettings::default());
+    assert_eq!(decision, DrawDecision::Keep);
+}
+
+#[test]
+fn gateway_with_all_the_calls_holds_no_more_than_the_budget_allows() {
+    // All calls of the organisation reach one of eight gateways, which already holds a third of the
+    // unspent tokens. The budget is nearly spent, so that a crash must lose little of it.
+    let input = DrawInput {
+        granted_to_all: Tokens(800_000),
+        spent_by_all: Tokens(700_000),
+        available: Tokens(100_000),
+        returnable: Tokens(100_000),
+        rate_per_s: 20_000.0,
+        others_rate_per_s: 0.0,
+        ..input()
+    };
+    let decision = decide_draw(&input, &DrawSettings::default());
+    assert!(
+        matches!(decision, DrawDecision::Return(tokens) if tokens >= Tokens(70_000)),
+        "{decision:?}"
+    );
+}
--- a/crates/toucan_gateway/tests/fleet_shares.rs
+++ b/crates/toucan_gateway/tests/fleet_shares.rs
@@ -10,7 +10,7 @@
     retries::{connection_share, initial_retry_budget, retry_share},
 };
 use toucan_router::RetryBudget;
-use toucan_types::VmName;
+use toucan_types::{DataCentreName, VmName};
 
 const GATEWAYS: usize = 8;
 /// Maximum number of connections that one target accepts from all gateways together.
@@ -37,6 +37,7 @@
         start: 1,
         address: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
         key: [0; 32],
+        data_centre: DataCentreName::from("a"),
     }
 }
 
--- a/crates/toucan_gateway/tests/loans.rs
+++ b/crates/toucan_gateway/tests/loans.rs
@@ -12,7 +12,7 @@
 fn loan_counts_once() {
     let (organisation, lender) = organisation_and_lender();
     let mut lending = Lending::default();
-    let (id, _tokens) = lending.ask(&organisation, &lender, 7, Tokens(100));
+    let (id, _tokens) = lending.ask(&organisation, &lender, 7, Tokens(100), 0);
     assert!(lending.accept(id, &organisation, &lender, 7));
     assert!(!lending.accept(id, &organisation, &lender, 7));
 }
@@ -21,7 +21,7 @@
 fn loan_from_another_start_of_the_lender_is_rejected() {
     let (organisation, lender) = organisation_and_lender();
     let mut lending = Lending::default();
-    let (id, _tokens) = lending.ask(&organisation, &lender, 7, Tokens(100));
+    let (id, _tokens) = lending.ask(&organisation, &lender, 7, Tokens(100), 0);
     assert!(!lending.accept(id, &organisation, &lender, 8));
 }
 
@@ -29,10 +29,13 @@
 fn unanswered_request_is_repeated_with_its_id() {
     let (organisation, lender) = organisation_and_lender();
     let mut lending = Lending::default();
-    let first = lending.ask(&organisation, &lender, 7, Tokens(100));
-    assert_eq!(lending.ask(&organisation, &lender, 7, Tokens(900)), first);
+    let first = lending.ask(&organisation, &lender, 7, Tokens(100), 0);
+    assert_eq!(
+        lending.ask(&organisation, &lender, 7, Tokens(900), 0),
+        first
+    );
     assert_ne!(
-        lending.ask(&organisation, &lender, 8, Tokens(900)).0,
+        lending.ask(&organisation, &lender, 8, Tokens(900), 0).0,
         first.0
     );
 }
@@ -42,7 +45,7 @@
     let (_organisation, borrower) = organisation_and_lender();
     let mut lending = Lending::default();
     let (id, _tokens) =
-        Lending::default().ask(&organisation_and_lender().0, &borrower, 1, Tokens(5));
+        Lending::default().ask(&organisation_and_lender().0, &borrower, 1, Tokens(5), 0);
     let key = (borrower, 3, id);
     assert_eq!(lending.previous_loan(&key), None);
     lending.record_loan(key.clone(), Tokens(40));
@@ -100,3 +103,47 @@
         Err(DatagramError::TooShort)
     );
 }
+
+#[test]
+fn tour_asks_each_lender_once_and_then_pauses() {
+    let (organisation, _lender) = organisation_and_lender();
+    let mut lending = Lending::default();
+    let mut asked = Vec::new();
+    // Every answer arrives after 5 ms without tokens.
+    for now_ms in (1_000..1_150).step_by(5) {
+        for at in lending.next_round(&organisation, 8, now_ms) {
+            let lender = VmName::from(format!("vm-{at}"));
+            let (id, _tokens) = lending.ask(&organisation, &lender, 1, Tokens(10), now_ms);
+            assert!(lending.accept(id, &organisation, &lender, 1));
+            asked.push(at);
+        }
+    }
+    assert_eq!(asked, (0..8).collect::<Vec<_>>());
+    assert!(lending.is_tour_over(&organisation, 1_150));
+    assert!(!lending.is_tour_over(&organisation, 2_000));
+}
+
+#[test]
+fn next_lender_is_asked_when_the_first_one_does_not_answer() {
+    let (organisation, lender) = organisation_and_lender();
+    let mut lending = Lending::default();
+    assert_eq!(lending.next_round(&organisation, 4, 1_000), [0]);
+    lending.ask(&organisation, &lender, 1, Tokens(10), 1_000);
+    assert!(lending.next_round(&organisation, 4, 1_010).is_empty());
+    assert_eq!(lending.next_round(&organisation, 4, 1_030), [1, 2, 3]);
+}
+
+#[test]
+fn silent_lender_is_asked_last_for_some_time() {
+    let (organisation, lender) = organisation_and_lender();
+    let other = VmName::from("other");
+    let mut lending = Lending::default();
+    lending.ask(&organisation, &lender, 1, Tokens(10), 1_000);
+
+    let mut lenders = [lender.clone(), other.clone()];
+    lending.ask_silent_last(&mut lenders, 1_100);
+    assert_eq!(lenders, [other.clone(), lender.clone()]);
+    let mut lenders = [lender.clone(), other.clone()];
+    lending.ask_silent_last(&mut lenders, 2_500);
+    assert_eq!(lenders, [lender, other]);
+}
--- a/crates/toucan_types/src/lib.rs
+++ b/crates/toucan_types/src/lib.rs
@@ -31,7 +31,7 @@
 pub use numbers::{DocumentVersion, FencingNumber, Offset, Sequence};
 pub use permille::Permille;
 pub use position::Position;
-pub use rendezvous::rendezvous_choice;
+pub use rendezvous::{rendezvous_choice, rendezvous_ranking};
 pub use request_class::RequestClass;
 pub use severity::Severity;
 pub use shard_index::ShardIndex;
