Read the newest records after an outage of the store, not all of them

During the cut 25 versions had been published; the gateway read all of them, over a link that one organisation's callers also fill, and each read that took longer than its timeout began anew. A long poll that was sent just before the end of the cut waited 3.5 s on a silent connection, and up to four idle connections cost a timeout each. The VM's link is still full while one organisation's callers all reach it, so its other calls to the store are slow.

--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -66,6 +66,11 @@
         self.by_vm.remove(vm);
     }
 
+    /// Removes the gateways for which `is_registered` returns false.
+    pub fn retain(&mut self, is_registered: impl Fn(&VmName) -> bool) {
+        self.by_vm.retain(|vm, _member| is_registered(vm));
+    }
+
     /// Returns one gateway.
     pub fn get_mut(&mut self, vm: &VmName) -> Option<&mut Member> {
         self.by_vm.get_mut(vm)
--- a/crates/toucan_gateway/src/tasks/config_watch.rs
+++ b/crates/toucan_gateway/src/tasks/config_watch.rs
@@ -25,7 +25,10 @@
                 health.record_success(gateway.now_ms());
                 apply_newest(&gateway, &consumed.batch.records);
             }
-            Err(error) => sleep(health.record_failure(&error, gateway.now_ms())).await,
+            Err(error) => {
+                consumer.restart();
+                sleep(health.record_failure(&error, gateway.now_ms())).await;
+            }
         }
     }
 }
--- a/crates/toucan_gateway/src/tasks/membership.rs
+++ b/crates/toucan_gateway/src/tasks/membership.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use tokio::time::sleep;
-use toucan_types::VmName;
+use toucan_types::{FastHashSet, VmName};
 
 use crate::{
     Gateway, Platform,
@@ -33,12 +33,18 @@
         match consumer.read(&gateway.platform, LONG_POLL_TIMEOUT).await {
             Ok(consumed) => {
                 health.record_success(gateway.now_ms());
+                if consumed.is_snapshot {
+                    remove_missing(&gateway, &consumed.batch.records);
+                }
                 for read in &consumed.batch.records {
                     apply_record(&gateway, read);
                 }
                 gateway.state.borrow_mut().members_loaded = true;
             }
-            Err(error) => sleep(health.record_failure(&error, gateway.now_ms())).await,
+            Err(error) => {
+                consumer.restart();
+                sleep(health.record_failure(&error, gateway.now_ms())).await;
+            }
         }
     }
 }
@@ -68,6 +74,17 @@
     Ok(())
 }
 
+/// Removes the gateways that are missing from a snapshot.
+fn remove_missing<P: Platform>(gateway: &Rc<Gateway<P>>, records: &[ReadRecord]) {
+    let listed: FastHashSet<&str> = records
+        .iter()
+        .filter(|read| read.record.value.is_some())
+        .map(|read| read.record.key.as_str())
+        .collect();
+    let mut state = gateway.state.borrow_mut();
+    state.members.retain(|vm| listed.contains(vm.as_str()));
+}
+
 fn apply_record<P: Platform>(gateway: &Rc<Gateway<P>>, read: &ReadRecord) {
     let vm = VmName::from(read.record.key.as_str());
     if vm == gateway.settings.vm {
--- a/crates/toucan_gateway/src/tasks/partition_consumer.rs
+++ b/crates/toucan_gateway/src/tasks/partition_consumer.rs
@@ -69,6 +69,14 @@
         })
     }
 
+    /// Makes the next read return a snapshot.
+    ///
+    /// To be called after an outage. A snapshot has one record of each key, however many were
+    /// appended meanwhile, and reading it does not wait on a connection that may have gone silent.
+    pub(crate) fn restart(&mut self) {
+        self.next = None;
+    }
+
     /// Sets the next offset, to skip records that this process appended itself.
     pub(crate) fn seek(&mut self, next: Offset) {
         self.next = Some(next);
