Let other gateways' reports of unread prompts decay

A gateway of 195 hears from each other one every 1.95 s and counted the prompts of that report as unread until the next one, six times as long as an engine needs for one. Change: a report's unread tokens are reduced by what the engine can have processed since. Reports more often: not tried. The test fails without the decay, as 100 reports of one prompt then count for 3 s.

--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -126,7 +126,8 @@
     let uncached_tokens = target.prompt_cache.uncached_tokens(request.parts, now_ms);
     let prefill_ms = uncached_tokens as f64 / settings.prefill_tokens_per_ms;
     let backlog_ms = f64::from(target.load(now_ms)) * settings.step_ms_per_call
-        + target.total_unread_tokens(now_ms) as f64 / settings.prefill_tokens_per_ms;
+        + target.total_unread_tokens(settings.prefill_tokens_per_ms, now_ms) as f64
+            / settings.prefill_tokens_per_ms;
     Choice {
         target,
         first_event_ms: settings.min_first_event_ms + backlog_ms + prefill_ms,
@@ -152,8 +153,9 @@
     let slots = f64::from(target.entry.slots.max(1));
     let excess_calls = (load + 1.0 - slots).max(0.0);
     let processing_ms = if request.engine.is_some() {
-        let prefill_backlog_ms =
-            target.total_unread_tokens(now_ms) as f64 / settings.prefill_tokens_per_ms;
+        let prefill_backlog_ms = target.total_unread_tokens(settings.prefill_tokens_per_ms, now_ms)
+            as f64
+            / settings.prefill_tokens_per_ms;
         load * settings.delay_ms_per_call
             + prefill_backlog_ms
             + cache_miss_ms(request, target, is_affinity_target, settings, now_ms)
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -101,12 +101,16 @@
     }
 
     /// Returns the prompt tokens that the target still has to process, including those that other
-    /// VMs reported.
+    /// VMs reported and that it cannot have processed since.
     #[must_use]
-    pub fn total_unread_tokens(&self, now_ms: u64) -> u64 {
+    pub fn total_unread_tokens(&self, prefill_tokens_per_ms: f64, now_ms: u64) -> u64 {
         let peer_total: u64 = self
             .recent_peer_loads(now_ms)
-            .map(|load| load.unread_tokens)
+            .map(|load| {
+                let age_ms = now_ms.saturating_sub(load.updated_at_ms) as f64;
+                let processed_tokens = (age_ms * prefill_tokens_per_ms) as u64;
+                load.unread_tokens.saturating_sub(processed_tokens)
+            })
             .sum();
         self.unread_tokens + peer_total
     }
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -264,3 +264,24 @@
     table.deregister(&name, 600);
     assert_eq!(table.remove_expired(600), [name]);
 }
+
+/// Prompt tokens per millisecond that the engines of these tests process.
+const PREFILL_TOKENS_PER_MS: f64 = 50.0;
+
+#[test]
+fn prompts_that_other_gateways_reported_count_until_they_can_be_processed() {
+    let mut table = table(1);
+    let target = table
+        .get_mut(&TargetName::from("t0"))
+        .expect("it is registered");
+    // In a fleet of hundreds of gateways each one reports every few seconds, while an engine
+    // processes a prompt in a fraction of a second. Without decay every prompt counts for seconds.
+    for peer in 0..100 {
+        target.set_peer_load(peer, 1, 10_000, 1_000);
+    }
+    let unread_at = |now_ms| target.total_unread_tokens(PREFILL_TOKENS_PER_MS, now_ms);
+    assert_eq!(unread_at(1_000), 1_000_000);
+    assert_eq!(unread_at(1_100), 500_000);
+    assert_eq!(unread_at(1_200), 0);
+    assert_eq!(target.load(1_200), 100, "the calls still run");
+}
