Remember every start whose transfers were accepted

Cause: a receiver kept the last transfer of a sender's newest start only. Should an earlier start be authenticated once more, a late copy of its transfer would count again. Change: the last id is kept for each start and never removed. The words for a pass over the lenders are plain (cycle). Ruled out: removing entries with the member: a member may be read again from the log. Conclusion: a repeated datagram cannot duplicate tokens, whatever the view of the members.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -181,7 +181,7 @@
     /// ago.
     pub(crate) fn is_loan_hopeless(&self, organisation: &OrganisationName) -> bool {
         let now_ms = self.now_ms();
-        !self.can_draw(organisation) && self.lending.borrow().is_tour_over(organisation, now_ms)
+        !self.can_draw(organisation) && self.lending.borrow().is_cycle_over(organisation, now_ms)
     }
 
     /// Asks some of the other gateways for the tokens that calls wait for and this one lacks.
--- a/crates/toucan_gateway/src/peers/lending.rs
+++ b/crates/toucan_gateway/src/peers/lending.rs
@@ -11,8 +11,8 @@
 const MAX_REMEMBERED: usize = 4_096;
 /// Time after which the next gateways are asked if those of the previous round have not answered.
 const ROUND_INTERVAL_MS: u64 = 30;
-/// Time after its last round at which a tour of the lenders begins again.
-const TOUR_INTERVAL_MS: u64 = 200;
+/// Time after the last round at which the lenders are asked again, from the first one on.
+const CYCLE_INTERVAL_MS: u64 = 200;
 /// Maximum number of gateways asked in one round. The first round asks only the best lender.
 const PEERS_PER_ROUND: usize = 3;
 /// Time without an answer after which a gateway is asked last.
@@ -55,7 +55,7 @@
 struct Round {
     started_ms: u64,
     next_peer: usize,
-    /// Whether the tour has reached the last lender.
+    /// Whether the last lender has been asked.
     is_last: bool,
     /// Number of requests of the round that have not been answered.
     unanswered: usize,
@@ -65,8 +65,8 @@
     /// Returns the positions of the gateways to ask now, out of `peers` gateways in the order of
     /// preference.
     ///
-    /// The rounds of a tour ask one gateway after the other. Empty if the previous round was recent
-    /// and has not been answered, or if the tour is over and the next one is not due.
+    /// The rounds of a cycle ask one gateway after the other, each once. Empty if the previous round
+    /// was recent and has not been answered, or if the next cycle is not due.
     pub fn next_round(
         &mut self,
         organisation: &OrganisationName,
@@ -77,7 +77,7 @@
             return Vec::new();
         }
         let round = self.rounds.entry(organisation.clone()).or_default();
-        let is_first = round.started_ms == 0 || now_ms >= round.started_ms + TOUR_INTERVAL_MS;
+        let is_first = round.started_ms == 0 || now_ms >= round.started_ms + CYCLE_INTERVAL_MS;
         if !is_first && (round.is_last || round.is_waiting(now_ms)) {
             return Vec::new();
         }
@@ -98,13 +98,13 @@
         (first_peer..first_peer + count).collect()
     }
 
-    /// Returns whether a recent tour has asked all lenders in vain.
+    /// Returns whether all lenders were asked a moment ago and none can still answer.
     #[must_use]
-    pub fn is_tour_over(&self, organisation: &OrganisationName, now_ms: u64) -> bool {
+    pub fn is_cycle_over(&self, organisation: &OrganisationName, now_ms: u64) -> bool {
         self.rounds.get(organisation).is_some_and(|round| {
             round.is_last
                 && !round.is_waiting(now_ms)
-                && now_ms < round.started_ms + TOUR_INTERVAL_MS
+                && now_ms < round.started_ms + CYCLE_INTERVAL_MS
         })
     }
 
--- a/crates/toucan_gateway/src/peers/mod.rs
+++ b/crates/toucan_gateway/src/peers/mod.rs
@@ -1,8 +1,8 @@
-//! Communication with other gateways: membership, loads at targets, and loans of tokens.
+//! Communication with other gateways: membership, loads at targets, loans and transfers of tokens.
 //!
-//! Each message is a single datagram and can be lost. Loads are sent periodically. A loan leaves
-//! the lender's wallet before it is sent, so a lost datagram can lose tokens but never duplicates
-//! them.
+//! Each message is a single datagram and can be lost. Loads are sent periodically. Tokens leave the
+//! sender's wallet before they are sent, and loans and transfers have ids, so a lost or repeated
+//! datagram can lose tokens but never duplicates them.
 
 mod datagram;
 mod holders;
--- a/crates/toucan_gateway/src/peers/transfers.rs
+++ b/crates/toucan_gateway/src/peers/transfers.rs
@@ -30,8 +30,9 @@
 pub struct Transfers {
     last_id: u64,
     pending: FastHashMap<VmName, PendingTransfer>,
-    /// Last transfer accepted from each sender, by its VM and start.
-    accepted: FastHashMap<VmName, (u64, TransferId)>,
+    /// Last transfer accepted from each start of a sender. Entries are never removed, because a
+    /// datagram may be delayed for any time.
+    accepted: FastHashMap<(VmName, u64), TransferId>,
 }
 
 impl Transfers {
@@ -94,18 +95,12 @@
     }
 
     /// Returns whether a received transfer is new, so that its tokens are added to the wallet.
-    ///
-    /// The caller has authenticated the sender's start, so transfers of earlier starts of the same
-    /// VM no longer arrive.
     pub fn accept(&mut self, sender: &VmName, sender_start: u64, id: TransferId) -> bool {
-        let is_known = self
-            .accepted
-            .get(sender)
-            .is_some_and(|(start, last)| *start == sender_start && id <= *last);
-        if is_known {
+        let key = (sender.clone(), sender_start);
+        if self.accepted.get(&key).is_some_and(|last| id <= *last) {
             return false;
         }
-        self.accepted.insert(sender.clone(), (sender_start, id));
+        self.accepted.insert(key, id);
         true
     }
 }
--- a/crates/toucan_gateway/tests/loans.rs
+++ b/crates/toucan_gateway/tests/loans.rs
@@ -105,7 +105,7 @@
 }
 
 #[test]
-fn tour_asks_each_lender_once_and_then_pauses() {
+fn cycle_asks_each_lender_once_and_then_pauses() {
     let (organisation, _lender) = organisation_and_lender();
     let mut lending = Lending::default();
     let mut asked = Vec::new();
@@ -119,8 +119,8 @@
         }
     }
     assert_eq!(asked, (0..8).collect::<Vec<_>>());
-    assert!(lending.is_tour_over(&organisation, 1_150));
-    assert!(!lending.is_tour_over(&organisation, 2_000));
+    assert!(lending.is_cycle_over(&organisation, 1_150));
+    assert!(!lending.is_cycle_over(&organisation, 2_000));
 }
 
 #[test]
--- a/crates/toucan_gateway/tests/transfers.rs
+++ b/crates/toucan_gateway/tests/transfers.rs
@@ -73,6 +73,11 @@
     let mut received = Transfers::default();
     assert!(received.accept(&sender(), SENDER_START, id));
     assert!(received.accept(&sender(), SENDER_START + 1, id));
+    let is_counted_again = received.accept(&sender(), SENDER_START, id);
+    assert!(
+        !is_counted_again,
+        "a copy of the earlier start's transfer is late"
+    );
 }
 
 #[test]
