Do not count what former processes held as unspent

What ended processes held is neither reported nor to be had, so after several waves of deaths the gateways believed in more unspent tokens than there were, held more, and lost more in the next wave. Change: for the sizes of holdings, what former processes held counts as spent.

--- a/crates/toucan_gateway/src/budget/draw_sizing.rs
+++ b/crates/toucan_gateway/src/budget/draw_sizing.rs
@@ -57,8 +57,8 @@
     pub prepaid: Tokens,
     /// Tokens granted to all processes together.
     pub granted_to_all: Tokens,
-    /// Tokens that all processes together have spent, as far as they have reported it.
-    pub spent_by_all: Tokens,
+    /// Tokens that all processes together have reported as spent or that former processes held.
+    pub spent_or_lost: Tokens,
     /// Tokens available to this process.
     pub available: Tokens,
     /// The part of `available` that can be returned to the store.
@@ -139,7 +139,7 @@
     }
     let holders = f64::from(input.holders.max(1));
     let ungranted = input.prepaid.saturating_sub(input.granted_to_all).0 as f64;
-    let unspent = input.prepaid.saturating_sub(input.spent_by_all).0 as f64;
+    let unspent = input.prepaid.saturating_sub(input.spent_or_lost).0 as f64;
     let fleet_rate = input.rate_per_s + input.others_rate_per_s;
     let prepaid = (input.prepaid.0 as f64).max(1.0);
     let max_held = unspent * (unspent / prepaid).powi(2) * settings.max_held_fraction;
--- a/crates/toucan_gateway/src/budget/grant_table.rs
+++ b/crates/toucan_gateway/src/budget/grant_table.rs
@@ -59,6 +59,24 @@
             .fold(Tokens::ZERO, |sum, record| sum.saturating_add(record.spent))
     }
 
+    /// Returns the tokens that nobody can spend any more: those reported as spent, and all that
+    /// former processes held.
+    #[must_use]
+    pub fn spent_or_lost(&self, organisation: &OrganisationName) -> Tokens {
+        let Some(grants) = self.by_organisation.get(organisation) else {
+            return Tokens::ZERO;
+        };
+        grants
+            .by_owner
+            .iter()
+            .fold(Tokens::ZERO, |sum, (owner, record)| {
+                sum.saturating_add(match owner {
+                    GrantOwner::Process(_) => record.spent,
+                    GrantOwner::FormerProcesses => record.granted(),
+                })
+            })
+    }
+
     /// Returns the tokens per second that the calls of all processes ask for, by their newest
     /// records.
     ///
--- a/crates/toucan_gateway/src/budget/grant_writer.rs
+++ b/crates/toucan_gateway/src/budget/grant_writer.rs
@@ -217,7 +217,7 @@
     let input = DrawInput {
         prepaid: grants.prepaid(organisation, configured).1,
         granted_to_all: grants.granted(organisation),
-        spent_by_all: grants.spent(organisation),
+        spent_or_lost: grants.spent_or_lost(organisation),
         available: wallet.available(),
         returnable: wallet.returnable(),
         is_holder: snapshot.is_holder,
--- a/crates/toucan_gateway/tests/draw_sizing.rs
+++ b/crates/toucan_gateway/tests/draw_sizing.rs
@@ -1,14 +1,17 @@
 //! Tests of how many tokens a process draws and returns.
 
 use test_case::test_case;
-use toucan_gateway::budget::{DrawDecision, DrawInput, DrawSettings, decide_draw};
-use toucan_types::Tokens;
+use toucan_gateway::budget::{
+    DrawDecision, DrawInput, DrawSettings, GatewayProcess, GrantKey, GrantOwner, GrantRecord,
+    GrantTable, decide_draw,
+};
+use toucan_types::{DocumentVersion, OrganisationName, Tokens, VmName};
 
 fn input() -> DrawInput {
     DrawInput {
         prepaid: Tokens(1_000_000),
         granted_to_all: Tokens(200_000),
-        spent_by_all: Tokens(200_000),
+        spent_or_lost: Tokens(200_000),
         available: Tokens(0),
         returnable: Tokens(0),
         is_holder: true,
@@ -59,7 +62,7 @@
     let at_start = drawn_tokens(&input());
     let near_end = drawn_tokens(&DrawInput {
         granted_to_all: Tokens(980_000),
-        spent_by_all: Tokens(980_000),
+        spent_or_lost: Tokens(980_000),
         ..input()
     });
     assert!(near_end * 4 < at_start, "{near_end} against {at_start}");
@@ -107,7 +110,7 @@
     let prepaid = 1_000_000.0;
     let input = DrawInput {
         granted_to_all: Tokens((prepaid * spent_fraction) as u64),
-        spent_by_all: Tokens((prepaid * spent_fraction) as u64),
+        spent_or_lost: Tokens((prepaid * spent_fraction) as u64),
         rate_per_s: 2_500.0,
         others_rate_per_s: 17_500.0,
         ..input()
@@ -181,7 +184,7 @@
     // unspent tokens. The budget is nearly spent, so that a crash must lose little of it.
     let input = DrawInput {
         granted_to_all: Tokens(800_000),
-        spent_by_all: Tokens(700_000),
+        spent_or_lost: Tokens(700_000),
         available: Tokens(100_000),
         returnable: Tokens(100_000),
         rate_per_s: 20_000.0,
@@ -194,3 +197,28 @@
         "{decision:?}"
     );
 }
+
+#[test]
+fn tokens_that_former_processes_held_are_not_unspent() {
+    let organisation = OrganisationName::from("organisation");
+    let record = |drawn, spent| GrantRecord {
+        drawn: Tokens(drawn),
+        returned: Tokens(50),
+        spent: Tokens(spent),
+        rate_per_s: 0,
+        config_version: DocumentVersion(1),
+        prepaid: Tokens(1_000),
+    };
+    let key = |owner| GrantKey {
+        organisation: organisation.clone(),
+        owner,
+    };
+    let process = GatewayProcess {
+        vm: VmName::from("vm"),
+        start_id: 2,
+    };
+    let mut grants = GrantTable::default();
+    grants.apply(key(GrantOwner::FormerProcesses), Some(record(450, 100)));
+    grants.apply(key(GrantOwner::Process(process)), Some(record(250, 70)));
+    assert_eq!(grants.spent_or_lost(&organisation), Tokens(400 + 70));
+}
