Log how a target marks the end of its answer

The line 'call answered' now has 'framing' (length, chunks, close), 'events' and 'partial_event_bytes', and toucan_answers_total has the label 'framing'. Nothing is decided by them.

With them hypothesis 1 (the end of the connection taken for the end of the stream) reads whole, close, left-over bytes; hypothesis 2 (an error lost) reads whole with length or chunks; hypothesis 3 (the break cannot be seen by the caller) reads broken_off.

--- a/crates/toucan_gateway/src/event_splitter.rs
+++ b/crates/toucan_gateway/src/event_splitter.rs
@@ -57,6 +57,12 @@
         self.events
     }
 
+    /// Returns the number of bytes after the last complete event.
+    #[must_use]
+    pub fn partial_event_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns the id of the last complete event that has one.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -1,6 +1,8 @@
 //! Log line that is written when a call ends.
 
-use crate::Refusal;
+use crate::{EventSplitter, Refusal};
+
+use super::body_framing::BodyFraming;
 
 /// Content of the log line of a call.
 #[derive(Debug, Default)]
@@ -23,6 +25,12 @@
     pub(crate) expected_ms: u64,
     /// Measured time from the last send to the first event.
     pub(crate) first_event_ms: u64,
+    /// Framing of the last response of a target.
+    pub(crate) framing: BodyFraming,
+    /// Complete events that were forwarded.
+    pub(crate) events: u64,
+    /// Bytes that the last target sent after its last complete event.
+    pub(crate) partial_event_bytes: usize,
 }
 
 impl CallLog {
@@ -51,11 +59,19 @@
         );
     }
 
+    /// Records how far a stream of events has come.
+    pub(crate) fn record_progress(&mut self, stream: &EventSplitter) {
+        self.events = stream.events();
+        self.partial_event_bytes = stream.partial_event_bytes();
+    }
+
     /// Logs and counts a call that a target answered.
     pub(crate) fn log_answered(&self, status: u16, outcome: &str, spent_tokens: u64, now_ms: u64) {
         let took_ms = now_ms.saturating_sub(self.began_ms);
         metrics::histogram!("toucan_call_seconds").record(took_ms as f64 / 1_000.0);
-        metrics::counter!("toucan_answers_total", "outcome" => outcome.to_owned()).increment(1);
+        let framing = self.framing.name();
+        metrics::counter!("toucan_answers_total", "outcome" => outcome.to_owned(), "framing" => framing)
+            .increment(1);
         log::info!(
             target: "call",
             id = self.id.as_str(),
@@ -67,6 +83,9 @@
             spent_tokens = spent_tokens,
             expected_ms = self.expected_ms,
             first_event_ms = self.first_event_ms,
+            framing = framing,
+            events = self.events,
+            partial_event_bytes = self.partial_event_bytes,
             status = status,
             took_ms = took_ms,
             outcome = outcome;
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -16,7 +16,9 @@
     wire_format::{ResponseHead, WireFormat},
 };
 
-use super::{ConnectionPool, TargetConnection, connection_pool::CheckoutError};
+use super::{
+    ConnectionPool, TargetConnection, body_framing::BodyFraming, connection_pool::CheckoutError,
+};
 
 /// A call to be sent to one target.
 pub(crate) struct Exchange<'a> {
@@ -44,6 +46,8 @@
     pub(crate) body: Incoming,
     /// Parsed headers.
     pub(crate) head: ResponseHead,
+    /// How the end of the body is marked.
+    pub(crate) framing: BodyFraming,
     connection: TargetConnection,
     target: TargetName,
     keep_alive: Option<Duration>,
@@ -93,6 +97,7 @@
     let keep_alive = keep_alive_timeout(&parts.headers);
     Ok(OpenResponse {
         status: parts.status,
+        framing: BodyFraming::of_response(&parts.headers),
         headers: parts.headers,
         body,
         head,
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Serves calls: connections of callers, admission, and forwarding to targets.
 
+mod body_framing;
 mod call;
 mod call_log;
 mod connection_pool;
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -44,6 +44,7 @@
                 if let Some(bytes) = chunk.take()
                     && let Some(complete_events) = splitter.push(&bytes) {
                         tracker.set_output_tokens(splitter.events() * tokens_per_event);
+                        tracker.log.record_progress(&splitter);
                         yield complete_events;
                     }
                 let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
@@ -54,6 +55,7 @@
                     Ok(Some(Ok(bytes))) => chunk = Some(bytes),
                 }
             };
+            tracker.log.record_progress(&splitter);
             match end {
                 StreamEnd::Complete => {
                     source.in_flight_call.record_outcome(CallOutcome::Answered);
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -224,7 +224,10 @@
     };
     tracker.mark_may_have_run();
     let received = match send_request(&gateway.platform, &gateway.pool, exchange).await {
-        Ok(response) => read_response(gateway, call, response, &mut in_flight_call).await,
+        Ok(response) => {
+            tracker.log.framing = response.framing;
+            read_response(gateway, call, response, &mut in_flight_call).await
+        }
         Err(failure) => Err(failure),
     };
     match received {
