Take a stream that ends inside an event for broken off

Cause: an answer may have neither a length nor chunks. Its end is then the end of the connection, also when its target crashes, and the HTTP library reports a regular end. The relay took every regular end of a body for the end of the stream, passed the incomplete event on and ended the caller's answer with a last chunk. Class: the end of a transport taken for the end of a message.

Change: a regular end inside an event is a broken stream, whatever marked the end. Another target resumes it after the last complete event where the route allows it; otherwise the caller's answer breaks off. EventSplitter knows where an event ends by its lines, so that streams with carriage returns, which were held back to their end before, are not taken for one incomplete event; left-over comments are no event.

Ruled out: a lost error of the connection (cases cut between chunks and before the length passed before), the caller's framing. Other ends looked at: full answers without a length are complete at a regular end and failed after a reset (tests, passed before); the store's answers are checked by their own lengths or by JSON; the node's engines mark the end of a stream with an event of its own.

--- a/crates/toucan_gateway/src/event_splitter.rs
+++ b/crates/toucan_gateway/src/event_splitter.rs
@@ -9,39 +9,57 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
+    /// Position in `pending` of the first byte that was not searched for a line feed.
     scanned: usize,
+    /// Position in `pending` at which the last line begins.
+    line_start: usize,
     last_id: Option<String>,
     events: u64,
 }
 
-/// Terminates an event.
-const EVENT_TERMINATOR: &[u8] = b"\n\n";
 /// Prefix of the line with the event's id.
 const ID_FIELD: &str = "id:";
+/// First byte of a line that is a comment.
+const COMMENT: u8 = b':';
 
 impl EventSplitter {
     /// Appends bytes and returns all events that are now complete, unchanged.
+    ///
+    /// An empty line ends an event. Lines end with a line feed or with a carriage return and a line
+    /// feed.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.pending.extend_from_slice(bytes);
         let mut complete_end = 0;
-        while let Some(position) = find(&self.pending[self.scanned..], EVENT_TERMINATOR) {
-            let end = self.scanned + position + EVENT_TERMINATOR.len();
-            self.record_event(complete_end, end);
-            complete_end = end;
-            self.scanned = end;
+        while let Some(position) = find_line_feed(&self.pending[self.scanned..]) {
+            let line_end = self.scanned + position;
+            let is_event_end = is_empty_line(&self.pending[self.line_start..line_end]);
+            self.scanned = line_end + 1;
+            self.line_start = self.scanned;
+            if is_event_end {
+                self.record_event(complete_end, self.scanned);
+                complete_end = self.scanned;
+            }
         }
         let events = self.pending.split_to(complete_end).freeze();
-        // The terminator of an event may be split between two chunks.
-        self.scanned = self
-            .pending
-            .len()
-            .saturating_sub(EVENT_TERMINATOR.len() - 1);
+        self.scanned = self.pending.len();
+        self.line_start -= complete_end;
         (!events.is_empty()).then_some(events)
     }
 
-    /// Returns the bytes after the last complete event, at the regular end of a stream.
+    /// Returns whether the bytes after the last complete event begin another one.
+    ///
+    /// A stream that ends there was broken off, however its end is marked.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        self.pending[..]
+            .split(|byte| *byte == b'\n')
+            .any(|line| !is_empty_line(line) && line[0] != COMMENT)
+    }
+
+    /// Returns the comments after the last complete event, at the regular end of a stream.
     pub fn finish(&mut self) -> Bytes {
         self.scanned = 0;
+        self.line_start = 0;
         self.pending.split().freeze()
     }
 
@@ -49,6 +67,7 @@
     pub fn discard_partial(&mut self) {
         self.pending.clear();
         self.scanned = 0;
+        self.line_start = 0;
     }
 
     /// Returns the number of complete events, without those that contain only comments.
@@ -89,8 +108,11 @@
     }
 }
 
-fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes
-        .windows(pattern.len())
-        .position(|window| window == pattern)
+fn find_line_feed(bytes: &[u8]) -> Option<usize> {
+    bytes.iter().position(|byte| *byte == b'\n')
+}
+
+/// Returns whether a line, given without its line feed, is empty.
+fn is_empty_line(line: &[u8]) -> bool {
+    line.is_empty() || line == b"\r"
 }
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -50,6 +50,9 @@
                 let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
                 match timeout(left, next_bytes(&mut source.response.body)).await {
                     Err(_elapsed) => break StreamEnd::DeadlineReached,
+                    Ok(None) if splitter.is_inside_event() => {
+                        break StreamEnd::Failed(CallOutcome::Broken);
+                    }
                     Ok(None) => break StreamEnd::Complete,
                     Ok(Some(Err(_error))) => break StreamEnd::Failed(CallOutcome::Broken),
                     Ok(Some(Ok(bytes))) => chunk = Some(bytes),
