Do not give a resumed stream the length of its first target

A caller's answer was cut after as many bytes as the first target had announced.

Cause: the headers of the first target, with its Content-Length, went to the caller, while the target that resumed the stream may send more or fewer bytes. With more, the server cut the answer at that length, inside the last event, and it looked complete.

Change: a stream's answer has no length; it ends with a last chunk. Streams that are not resumed keep their bytes.

Ruled out: full answers, which are sent with the length of what was read.

--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
-use http::{Request, Response};
+use http::{Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -38,6 +38,8 @@
             let mut response = Response::new(());
             *response.status_mut() = events.response.status;
             *response.headers_mut() = events.response.headers.clone();
+            // Another target that resumes the stream may send more or fewer bytes.
+            response.headers_mut().remove(header::CONTENT_LENGTH);
             let stream = relay_events(gateway, *call, *events, tracker);
             response.map(|()| ResponseBody::Stream(Box::pin(stream)))
         }
@@ -77,6 +79,6 @@
     let mut response = Response::new(ResponseBody::Full(Full::new(full.body)));
     *response.status_mut() = full.status;
     *response.headers_mut() = full.headers;
-    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
     response
 }
