Give streams for callers of HTTP/1.0 a length

A caller of HTTP/1.0 could not tell a stream that was broken off from a complete one.

Cause: HTTP/1.0 has no chunks, so the end of the connection was the only mark of the answer's end, and the gateway closes the connection in the same way when a stream breaks off.

Evidence: stream_for_a_caller_without_chunks_has_a_length, both cases, failed before (status 200, no length) and pass now.

Change: for such a caller the stream is read to its end and sent with its length; if it breaks off, the answer is 502. Callers of HTTP/1.1 get events as they arrive, as before.

Weighed: a reset of the connection instead, which may also discard events that the caller has not read yet, and 505, which refuses what can be served.

--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -1,10 +1,10 @@
 //! Serves one call: reads it, reserves tokens, sends it, and forwards the response.
 
-use std::rc::Rc;
+use std::{pin::Pin, rc::Rc};
 
 use bytes::Bytes;
-use futures_util::Stream;
-use http::{Request, Response, header};
+use futures_util::{Stream, TryStreamExt};
+use http::{Request, Response, Version, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -25,6 +25,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody<impl Stream<Item = Result<Bytes, IncompleteResponse>>>> {
     let mut tracker = CallTracker::new(Rc::clone(&gateway));
+    let understands_chunks = request.version() >= Version::HTTP_11;
     let (call, response) = match admit_and_send(&gateway, request, &mut tracker).await {
         Ok(sent) => sent,
         Err((refusal, reason)) => {
@@ -40,12 +41,28 @@
             *response.headers_mut() = events.response.headers.clone();
             // Another target that resumes the stream may send more or fewer bytes.
             response.headers_mut().remove(header::CONTENT_LENGTH);
-            let stream = relay_events(gateway, *call, *events, tracker);
-            response.map(|()| ResponseBody::Stream(Box::pin(stream)))
+            let stream = Box::pin(relay_events(gateway, *call, *events, tracker));
+            if understands_chunks {
+                response.map(|()| ResponseBody::Stream(stream))
+            } else {
+                collect_stream(response, stream).await
+            }
         }
     }
 }
 
+/// Builds a response with a length, for a caller that could not tell a stream which was broken off
+/// from a complete one.
+async fn collect_stream<S>(response: Response<()>, stream: Pin<Box<S>>) -> Response<ResponseBody<S>>
+where
+    S: Stream<Item = Result<Bytes, IncompleteResponse>>,
+{
+    match stream.try_collect::<Vec<Bytes>>().await {
+        Ok(events) => response.map(|()| ResponseBody::Full(Full::new(events.concat().into()))),
+        Err(IncompleteResponse) => refusal_response(Refusal::TargetFailed),
+    }
+}
+
 async fn admit_and_send<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: Request<Incoming>,
