Log the software versions of a call's targets and what its caller resumes

The lines 'call answered' and 'call refused' now have 'software_versions', in the order of 'sent_to', 'resumes' (the attempt that the caller names) and 'resumes_after' (the last event it received); the state dump has each target's version.

Hypothesis 1 (the gateway itself resumes at another version) reads two versions in one line; hypothesis 2 (the caller resumes) reads 'resumes' and one version that differs from that of the attempt it names. Nothing else is decided by them.

--- a/crates/toucan_gateway/src/config/target_entry.rs
+++ b/crates/toucan_gateway/src/config/target_entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddrV4;
 
-use toucan_types::{DataCentreName, ServiceName, TargetName};
+use toucan_types::{DataCentreName, ServiceName, SoftwareVersion, TargetName};
 
 /// The registration of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     pub address: SocketAddrV4,
     /// Data centre of the target.
     pub data_centre: DataCentreName,
+    /// Version of the target's software.
+    pub software_version: SoftwareVersion,
     /// Number of calls that the target runs concurrently.
     pub slots: u32,
     /// Whether the target is draining and must get no new calls.
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -42,6 +42,7 @@
             json!({
                 "name": target.entry.name.as_str(),
                 "service": target.entry.service.as_str(),
+                "software_version": target.entry.software_version.as_str(),
                 "draining": target.entry.draining,
                 "in_flight": target.in_flight,
                 "load": target.load(now_ms),
--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -19,6 +19,12 @@
     pub(crate) began_ms: u64,
     /// Targets that the call was sent to, in order.
     pub(crate) sent_to: Vec<String>,
+    /// Software versions of those targets.
+    pub(crate) software_versions: Vec<String>,
+    /// Attempt whose stream the caller resumes; empty if it resumes none or names none.
+    pub(crate) resumes: String,
+    /// Id of the last event that the caller received before it resumed; empty if there is none.
+    pub(crate) resumes_after: String,
     /// Tokens reserved for the call.
     pub(crate) reserved_tokens: u64,
     /// Expected time from the last send to the first event.
@@ -50,6 +56,9 @@
             organisation = self.organisation.as_str(),
             config_version = self.config_version,
             sent_to = self.sent_to.join(",").as_str(),
+            software_versions = self.software_versions.join(",").as_str(),
+            resumes = self.resumes.as_str(),
+            resumes_after = self.resumes_after.as_str(),
             reserved_tokens = self.reserved_tokens,
             spent_tokens = spent_tokens,
             took_ms = now_ms.saturating_sub(self.began_ms),
@@ -79,6 +88,9 @@
             organisation = self.organisation.as_str(),
             config_version = self.config_version,
             sent_to = self.sent_to.join(",").as_str(),
+            software_versions = self.software_versions.join(",").as_str(),
+            resumes = self.resumes.as_str(),
+            resumes_after = self.resumes_after.as_str(),
             reserved_tokens = self.reserved_tokens,
             spent_tokens = spent_tokens,
             expected_ms = self.expected_ms,
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -36,6 +36,11 @@
     if let Some(id) = &head.id {
         tracker.log.id = id.to_string();
     }
+    if let Some(resumption) = &head.resumption {
+        let first_attempt = resumption.first_attempt.as_ref();
+        tracker.log.resumes = first_attempt.map_or_else(String::new, ToString::to_string);
+        tracker.log.resumes_after = resumption.last_event_id.clone().unwrap_or_default();
+    }
     let config = gateway.state.borrow().config.clone();
     let config = config.ok_or(Refusal::NotConfigured)?;
     tracker.log.config_version = config.version.0;
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -214,6 +214,8 @@
     let target = &chosen.entry;
     let mut in_flight_call = InFlightCall::begin(Rc::clone(gateway), &target.name, call);
     tracker.log.sent_to.push(target.name.to_string());
+    let software_version = target.software_version.to_string();
+    tracker.log.software_versions.push(software_version);
     let exchange = Exchange {
         target,
         id: &call.id,
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -45,6 +45,18 @@
     pub tokens: Option<TokenCounts>,
     /// Parts of the prompt in order. The last one is specific to the call or its session.
     pub prompt_parts: Vec<PromptPart>,
+    /// Where the caller resumes a stream; [`None`] if the call begins a new one.
+    pub resumption: Option<Resumption>,
+}
+
+/// Where a caller resumes a stream that broke off in an earlier attempt.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id of the caller's attempt that received the first event of the stream; [`None`] if the
+    /// caller does not name it.
+    pub first_attempt: Option<RequestId>,
+    /// Id of the last event that the caller received; [`None`] if it does not name one.
+    pub last_event_id: Option<String>,
 }
 
 /// Values that the gateway adds to the headers of a call that it forwards.
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -10,7 +10,7 @@
     },
     wire_format::PromptPart,
 };
-use toucan_types::{DataCentreName, ServiceName, TargetName};
+use toucan_types::{DataCentreName, ServiceName, SoftwareVersion, TargetName};
 
 const ENGINE: EngineSettings = EngineSettings {
     tokens_per_event: 5,
@@ -22,6 +22,7 @@
         service: ServiceName::from("s"),
         address: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
         data_centre: DataCentreName::from("here"),
+        software_version: SoftwareVersion::from("v1"),
         slots: 64,
         draining: false,
         started_at_unix_ms,
--- a/crates/toucan_types/src/names.rs
+++ b/crates/toucan_types/src/names.rs
@@ -27,6 +27,10 @@
     /// Name of a service: a pool of targets that serve models or a plain service.
     ServiceName
 );
+name_type!(
+    /// Version of the software that a target runs.
+    SoftwareVersion
+);
 name_type!(
     /// Name of a stream of the platform's append-only log.
     StreamName
