Resume a broken stream only at the software version that began it

Cause: the version of a target's software was not part of the choice of a target. Once a stream has delivered an event its state belongs to that version; the gateway kept the position in the stream but not the version. Class: work is resumed without the identity that its state belongs to.

Change: the first complete event of a stream fixes the service and version of its origin; every later send of the call is chosen among targets of that version. If none is left, the answer breaks off. Before the first event any version may take the call, as before.

--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod peers;
 pub mod placement;
 pub mod retries;
+pub mod streams;
 pub mod wire_format;
 
 mod clock;
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{BuildHasher, Hasher};
 
-use toucan_types::{DataCentreName, ServiceName, TargetName};
+use toucan_types::{DataCentreName, ServiceName, SoftwareVersion, TargetName};
 
 use crate::{config::EngineSettings, wire_format::PromptPart};
 
@@ -70,6 +70,8 @@
     pub parts: &'a [PromptPart],
     /// Data centre of this VM.
     pub data_centre: &'a DataCentreName,
+    /// Only software version that may get the call; [`None`] if every version may.
+    pub software_version: Option<&'a SoftwareVersion>,
     /// Targets that the call has already been tried at.
     pub tried: &'a [TargetName],
     /// Maximum number of calls that this VM may have in flight at one target.
@@ -93,6 +95,7 @@
     let candidates: Vec<&TargetState> = table
         .of_service(service)
         .filter(|target| target.accepts_calls(now_ms))
+        .filter(|target| has_version(target, request.software_version))
         .filter(|target| !request.tried.contains(&target.entry.name))
         .filter(|target| target.in_flight < request.max_in_flight)
         .collect();
@@ -116,6 +119,10 @@
         .map(|(_delay_ms, _tie, target)| estimate(request, target, settings, now_ms))
 }
 
+fn has_version(target: &TargetState, software_version: Option<&SoftwareVersion>) -> bool {
+    software_version.is_none_or(|version| target.entry.software_version == *version)
+}
+
 /// Returns the choice of a target with its expected times, which assume an engine.
 fn estimate<'a>(
     request: &ChoiceRequest<'_>,
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -12,6 +12,7 @@
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     placement::CallOutcome,
     retries::{CallProgress, SendFailure},
+    streams::StreamOrigin,
     wire_format::{CallHead, Dispatch, TokenCounts},
 };
 
@@ -41,6 +42,8 @@
     pub(crate) body: Bytes,
     /// When the caller's timeout or the route's timeout ends, whichever is earlier.
     pub(crate) deadline_ms: u64,
+    /// Where the stream that answers the call began; [`None`] before its first event.
+    pub(crate) origin: Option<StreamOrigin>,
     /// Targets that failed the call.
     pub(crate) tried: Vec<TargetName>,
     /// Number of attempts, and whether one of them may have run the call.
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -72,6 +72,7 @@
         deadline_ms: began_ms + caller_timeout_ms.min(route.timeout_ms),
         route,
         head,
+        origin: None,
         tried: Vec::new(),
         progress: CallProgress::default(),
     })
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -43,6 +43,7 @@
             let end = loop {
                 if let Some(bytes) = chunk.take()
                     && let Some(complete_events) = splitter.push(&bytes) {
+                        call.origin.get_or_insert_with(|| source.origin.clone());
                         tracker.set_output_tokens(splitter.events() * tokens_per_event);
                         tracker.log.record_progress(&splitter);
                         yield complete_events;
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -16,6 +16,7 @@
         CallOutcome, ChoiceRequest, ChoiceSettings, choose_target, overload_retry_after_ms,
     },
     retries::{CallProgress, NextStep, SendFailure, connection_share, next_step},
+    streams::StreamOrigin,
 };
 
 use super::{
@@ -51,6 +52,8 @@
     pub(crate) response: OpenResponse,
     /// First bytes of the body.
     pub(crate) first: Bytes,
+    /// Service and software version of the target.
+    pub(crate) origin: StreamOrigin,
     /// Counts the call as in flight at the target.
     pub(crate) in_flight_call: InFlightCall<P>,
 }
@@ -165,6 +168,7 @@
         engine: call.service_settings().and_then(|service| service.engine),
         parts: &call.head.prompt_parts,
         data_centre: &gateway.settings.data_centre,
+        software_version: call.origin.as_ref().map(|origin| &origin.software_version),
         tried: &call.tried,
         max_in_flight: max_connections,
         tie_break_seed: hash_id(&call.id),
@@ -251,6 +255,10 @@
             let events = EventResponse {
                 response,
                 first,
+                origin: StreamOrigin {
+                    service: target.service.clone(),
+                    software_version: target.software_version.clone(),
+                },
                 in_flight_call,
             };
             Ok(TargetResponse::Events(Box::new(events)))
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -67,6 +67,7 @@
         engine: Some(ENGINE),
         parts,
         data_centre: &data_centre,
+        software_version: None,
         tried,
         max_in_flight: 100,
         tie_break_seed,
