Let a caller's stream go on only at the software version that began it

Cause: a gateway treated an attempt that resumes a stream like a new call. The state that says where the stream began lived in the gateway of the first attempt alone, and died with it.

Change: before a caller gets the first event of a resumable stream, its gateway tells the origin (service and version) to three others, one of them in another data centre. A gateway that is asked to resume looks it up, asks the others, or takes the only version that has served for as long as a stream may last; the call then goes to the service and version of the stream. Without evidence, or without a target of the version, it is refused at once as not run.

--- a/crates/toucan_gateway/src/config/route.rs
+++ b/crates/toucan_gateway/src/config/route.rs
@@ -65,6 +65,14 @@
 }
 
 impl Route {
+    /// Returns whether calls of the route may run at a service.
+    #[must_use]
+    pub fn uses_service(&self, service: &ServiceName) -> bool {
+        self.services
+            .iter()
+            .any(|candidate| candidate.service == *service)
+    }
+
     /// Returns the service for one call; the same `random` always gives the same service.
     ///
     /// `random` must be uniformly distributed over the calls, such as a hash of the call's id.
--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -28,6 +28,10 @@
     BudgetInUse,
     /// no target can take the call
     NoTarget,
+    /// the software version that began the stream is not known here
+    StreamOriginUnknown,
+    /// no target runs the software version that began the stream
+    NoTargetOfVersion,
     /// the engines are behind, and the call would be late
     Overloaded {
         /// Time until the backlog is expected to be gone, in milliseconds.
@@ -61,6 +65,8 @@
             | Self::BudgetNotReachable
             | Self::BudgetInUse
             | Self::NoTarget
+            | Self::StreamOriginUnknown
+            | Self::NoTargetOfVersion
             | Self::TargetFull
             | Self::Overloaded { .. }
             | Self::TooLate
@@ -84,7 +90,8 @@
             Self::Stopping => 50,
             Self::TargetFull | Self::NoTarget => 250,
             Self::Overloaded { return_ms } => return_ms,
-            Self::NotConfigured => 500,
+            // The gateways that know may be reachable again, or the next attempt may reach one.
+            Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable => 1_000,
             // Tokens become available only when other calls cost less than they reserved, or after
             // a top-up.
@@ -108,6 +115,8 @@
             Self::BudgetNotReachable => "budget_not_reachable",
             Self::BudgetInUse => "budget_in_use",
             Self::NoTarget => "no_target",
+            Self::StreamOriginUnknown => "stream_origin_unknown",
+            Self::NoTargetOfVersion => "no_target_of_version",
             Self::Overloaded { .. } => "overloaded",
             Self::TargetFull => "target_full",
             Self::TooLate => "too_late",
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
     net::UdpSocket,
     sync::{Notify, watch},
 };
-use toucan_types::{OrganisationName, ServiceName, Tokens, VmName};
+use toucan_types::{OrganisationName, RequestId, ServiceName, Tokens, VmName};
 
 use crate::{
     Platform,
@@ -22,6 +22,7 @@
     serving::{ConnectionPool, http_listener::ListenerState},
     settings::{Bounds, GatewaySettings},
     state::GatewayState,
+    streams::{OriginLookups, StreamOrigin},
 };
 
 /// Maximum age of a budget snapshot that may show a budget as exhausted.
@@ -36,6 +37,9 @@
     pub(crate) pool: Rc<ConnectionPool>,
     pub(crate) lending: RefCell<Lending>,
     pub(crate) transfers: RefCell<Transfers>,
+    pub(crate) origin_lookups: RefCell<OriginLookups>,
+    /// Notifies calls that wait for the origin of a stream.
+    pub(crate) origins_changed: Notify,
     /// Notifies calls that wait for tokens.
     pub(crate) tokens_changed: Notify,
     /// Wakes the task that draws and returns tokens.
@@ -58,6 +62,8 @@
             pool: Rc::default(),
             lending: RefCell::default(),
             transfers: RefCell::default(),
+            origin_lookups: RefCell::default(),
+            origins_changed: Notify::new(),
             tokens_changed: Notify::new(),
             sync_requested: Notify::new(),
             grants_synced_at: watch::channel(0).0,
@@ -163,6 +169,11 @@
             && snapshot.prepaid.saturating_sub(snapshot.spent) < tokens
     }
 
+    /// Returns where a stream began, if this gateway knows it.
+    pub(crate) fn stream_origin(&self, attempt: &RequestId) -> Option<StreamOrigin> {
+        self.state.borrow().stream_origins.get(attempt).cloned()
+    }
+
     /// Returns whether this gateway holds tokens of an organisation for its data centre.
     pub(crate) fn is_holder(&self, organisation: &OrganisationName) -> bool {
         let now_ms = self.now_ms();
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -74,6 +74,7 @@
         "is_ready": state.is_ready(),
         "calls_in_progress": state.calls_in_progress,
         "gateways": state.members.process_count(now_ms),
+        "remembered_streams": state.stream_origins.len(),
         "target_connections": gateway.pool.total_open(),
         "targets": targets,
         "budgets": budgets,
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -1,7 +1,9 @@
 //! Authenticated messages between gateways, one per datagram.
 
 use displaydoc::Display;
-use toucan_types::{OrganisationName, TargetName, Tokens, VmName};
+use toucan_types::{OrganisationName, RequestId, TargetName, Tokens, VmName};
+
+use crate::streams::StreamOrigin;
 
 use super::TransferId;
 
@@ -56,6 +58,18 @@
         /// Id of the transfer.
         id: TransferId,
     },
+    /// Tells where a stream began, when it begins or in answer to a question.
+    StreamOrigin {
+        /// The caller's attempt that received the first event.
+        attempt: RequestId,
+        /// Where the stream began; [`None`] if the sender does not know it.
+        origin: Option<StreamOrigin>,
+    },
+    /// Asks where a stream began.
+    AskStreamOrigin {
+        /// The caller's attempt that received the first event.
+        attempt: RequestId,
+    },
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/peers/mod.rs
+++ b/crates/toucan_gateway/src/peers/mod.rs
@@ -1,4 +1,5 @@
-//! Communication with other gateways: membership, loads at targets, loans and transfers of tokens.
+//! Communication with other gateways: membership, loads at targets, loans and transfers of tokens,
+//! and where streams began.
 //!
 //! Each message is a single datagram and can be lost. Loads are sent periodically. Tokens leave the
 //! sender's wallet before they are sent, and loans and transfers have ids, so a lost or repeated
@@ -8,6 +9,7 @@
 mod holders;
 mod lending;
 mod member;
+mod origin_keepers;
 mod transfers;
 
 pub use datagram::{Datagram, DatagramError, LoanId, PeerMessage, TargetCalls};
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -42,7 +42,8 @@
     pub(crate) body: Bytes,
     /// When the caller's timeout or the route's timeout ends, whichever is earlier.
     pub(crate) deadline_ms: u64,
-    /// Where the stream that answers the call began; [`None`] before its first event.
+    /// Where the stream that answers the call began, perhaps in an earlier attempt; [`None`] before
+    /// its first event.
     pub(crate) origin: Option<StreamOrigin>,
     /// Targets that failed the call.
     pub(crate) tried: Vec<TargetName>,
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -10,6 +10,7 @@
 mod relay;
 mod reserve_tokens;
 pub(crate) mod response;
+mod resumption;
 mod send;
 mod serve_call;
 
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -14,6 +14,7 @@
 use super::{
     call::{Call, CallTracker},
     response::IncompleteResponse,
+    resumption::begin_stream,
     send::{EventResponse, TargetResponse, next_bytes, send_with_retries, take_retry},
 };
 
@@ -43,7 +44,9 @@
             let end = loop {
                 if let Some(bytes) = chunk.take()
                     && let Some(complete_events) = splitter.push(&bytes) {
-                        call.origin.get_or_insert_with(|| source.origin.clone());
+                        if call.origin.is_none() {
+                            begin_stream(&gateway, &mut call, &source.origin);
+                        }
                         tracker.set_output_tokens(splitter.events() * tokens_per_event);
                         tracker.log.record_progress(&splitter);
                         yield complete_events;
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -81,14 +81,7 @@
             return Err((refusal, "deadline reached"));
         }
         let Some(chosen) = choose_for_call(gateway, call, now_ms) else {
-            let refusal = match call.progress {
-                CallProgress {
-                    may_have_run: true, ..
-                } => Refusal::TargetFailed,
-                CallProgress { sends: 0, .. } => Refusal::NoTarget,
-                CallProgress { .. } => Refusal::TargetFull,
-            };
-            return Err((refusal, "no target is left"));
+            return Err((refusal_without_target(gateway, call), "no target is left"));
         };
         tracker.log.expected_ms = chosen.expected_ms;
         if let Some(return_ms) = chosen.return_ms
@@ -125,6 +118,33 @@
     }
 }
 
+/// Returns the refusal of a call that no target may get.
+fn refusal_without_target<P: Platform>(gateway: &Gateway<P>, call: &Call) -> Refusal {
+    match call.progress {
+        CallProgress {
+            may_have_run: true, ..
+        } => Refusal::TargetFailed,
+        CallProgress { sends: 0, .. } if is_version_gone(gateway, call) => {
+            Refusal::NoTargetOfVersion
+        }
+        CallProgress { sends: 0, .. } => Refusal::NoTarget,
+        CallProgress { .. } => Refusal::TargetFull,
+    }
+}
+
+/// Returns whether the call resumes a stream and no target runs the version that began it.
+fn is_version_gone<P: Platform>(gateway: &Gateway<P>, call: &Call) -> bool {
+    let Some(origin) = &call.origin else {
+        return false;
+    };
+    let now_ms = gateway.now_ms();
+    let state = gateway.state.borrow();
+    let mut targets = state.targets.of_service(&origin.service);
+    !targets.any(|target| {
+        target.accepts_calls(now_ms) && target.entry.software_version == origin.software_version
+    })
+}
+
 /// Takes one retry from the retry budget of a service; returns false if none is left.
 pub(crate) fn take_retry<P: Platform>(
     gateway: &Rc<Gateway<P>>,
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -16,6 +16,7 @@
     relay::relay_events,
     reserve_tokens::reserve_tokens,
     response::{IncompleteResponse, ResponseBody, refusal_response},
+    resumption::resolve_origin,
     send::{FullResponse, Refused, TargetResponse, send_with_retries},
 };
 
@@ -73,6 +74,7 @@
     if gateway.refuses_new_calls() {
         return Err((Refusal::Stopping, "planned stop"));
     }
+    resolve_origin(gateway, &mut call).await?;
     let now_ms = gateway.now_ms();
     gateway
         .state
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -12,6 +12,7 @@
     placement::TargetTable,
     retries::{initial_retry_budget, retry_share},
     settings::Bounds,
+    streams::{OriginTable, VersionHistory},
 };
 
 /// Time for which a process that is shutting down still accepts calls. The load balancer probes
@@ -29,6 +30,10 @@
     pub(crate) config: Option<Rc<FleetConfig>>,
     /// Registered targets; empty until they have been read.
     pub(crate) targets: TargetTable,
+    /// Software versions that the targets have recently run.
+    pub(crate) target_versions: VersionHistory,
+    /// Where recent streams began.
+    pub(crate) stream_origins: OriginTable,
     /// Whether the targets have been read at least once.
     pub(crate) targets_loaded: bool,
     /// Whether the other gateways have been read at least once.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::{net::UdpSocket, task::spawn_local, time::timeout};
-use toucan_types::{OrganisationName, Tokens, VmName};
+use toucan_types::{OrganisationName, RequestId, Tokens, VmName};
 
 use crate::{
     Gateway, Platform,
@@ -13,6 +13,7 @@
     },
     serving::{TokenWait, WaitKind},
     state::GatewayState,
+    streams::StreamOrigin,
 };
 
 /// Maximum size of a datagram.
@@ -195,7 +196,35 @@
             let transfers = &mut *gateway.transfers.borrow_mut();
             transfers.acknowledge(&datagram.vm, id);
         }
+        PeerMessage::StreamOrigin { attempt, origin } => {
+            record_stream_origin(gateway, &datagram.vm, &attempt, origin.as_ref(), now_ms);
+        }
+        PeerMessage::AskStreamOrigin { attempt } => {
+            let origin = gateway.stream_origin(&attempt);
+            let answer = PeerMessage::StreamOrigin { attempt, origin };
+            gateway.send_to_peers(std::iter::once(&datagram.vm), answer);
+        }
+    }
+}
+
+fn record_stream_origin<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    sender: &VmName,
+    attempt: &RequestId,
+    origin: Option<&StreamOrigin>,
+    now_ms: u64,
+) {
+    match origin {
+        Some(origin) => {
+            let origins = &mut gateway.state.borrow_mut().stream_origins;
+            origins.record(attempt, origin, now_ms);
+        }
+        None => {
+            let mut lookups = gateway.origin_lookups.borrow_mut();
+            lookups.record_unknown(attempt, sender);
+        }
     }
+    gateway.origins_changed.notify_waiters();
 }
 
 fn record_peer_load<P: Platform>(
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -34,7 +34,7 @@
                     apply_record(&gateway, read, usable_until_ms);
                 }
                 remove_expired(&gateway, now_ms);
-                gateway.state.borrow_mut().targets_loaded = true;
+                record_read(&gateway, now_ms);
                 sleep(POLL_INTERVAL).await;
             }
             Err(error) => sleep(health.record_failure(&error, gateway.now_ms())).await,
@@ -42,6 +42,13 @@
     }
 }
 
+fn record_read<P: Platform>(gateway: &Rc<Gateway<P>>, now_ms: u64) {
+    let state = &mut *gateway.state.borrow_mut();
+    let entries = state.targets.iter().map(|target| &*target.entry);
+    state.target_versions.record_read(entries, now_ms);
+    state.targets_loaded = true;
+}
+
 fn apply_record<P: Platform>(gateway: &Rc<Gateway<P>>, read: &ReadRecord, usable_until_ms: u64) {
     let Some(bytes) = &read.record.value else {
         let name = TargetName::from(read.record.key.as_str());
--- /dev/null
+++ b/crates/toucan_gateway/tests/stream_origins.rs
@@ -0,0 +1,193 @@
+//! Guards against streams that go on at another software version because a gateway assumes where they
+//! began, and against streams that cannot go on although a live gateway knows where they began.
+
+use std::net::SocketAddrV4;
+
+use proptest::prelude::*;
+use test_case::test_case;
+use toucan_gateway::{
+    config::TargetEntry,
+    peers::{GatewayLocation, MemberEntry, Members},
+    streams::{MAX_STREAM_AGE_MS, OriginLookups, OriginTable, StreamOrigin, VersionHistory},
+};
+use toucan_types::{DataCentreName, RequestId, ServiceName, SoftwareVersion, TargetName, VmName};
+
+/// Interval between two reads of the registrations.
+const READ_INTERVAL_MS: u64 = 400;
+
+fn location(at: usize, data_centres: usize) -> GatewayLocation {
+    GatewayLocation {
+        vm: VmName::from(format!("vm-{at}")),
+        data_centre: DataCentreName::from(format!("dc-{}", at % data_centres)),
+    }
+}
+
+/// Returns the members that gateway `local` sees.
+fn members_seen_by(local: usize, gateways: usize, data_centres: usize) -> Members {
+    let mut members = Members::default();
+    for at in (0..gateways).filter(|at| *at != local) {
+        let other = location(at, data_centres);
+        let entry = MemberEntry {
+            start: 1,
+            address: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
+            key: [0; 32],
+            data_centre: other.data_centre,
+        };
+        members.register(other.vm, entry, 0);
+    }
+    members
+}
+
+proptest! {
+    #[test]
+    fn every_gateway_asks_all_that_were_told(
+        gateways in 2_usize..40,
+        data_centres in 1_usize..6,
+        server in 0_usize..40,
+        asker in 0_usize..40,
+        attempt in "[0-9a-f]{16}",
+    ) {
+        let (server, asker) = (server % gateways, asker % gateways);
+        let attempt = RequestId::from(attempt.as_str());
+        let told = members_seen_by(server, gateways, data_centres).origin_keepers(
+            &attempt,
+            &location(server, data_centres),
+            0,
+        );
+        prop_assert_eq!(told.len(), 3.min(gateways - 1));
+        let asked = members_seen_by(asker, gateways, data_centres)
+            .possible_origin_keepers(&attempt, 0);
+        let asker = location(asker, data_centres).vm;
+        for gateway in told.iter().filter(|gateway| **gateway != asker) {
+            prop_assert!(asked.contains(gateway), "{gateway:?} is not asked: {asked:?}");
+        }
+    }
+}
+
+#[test]
+fn origin_survives_the_loss_of_its_data_centre() {
+    for at in 0..50 {
+        let attempt = RequestId::from(format!("attempt-{at}"));
+        let server = location(0, 4);
+        let told = members_seen_by(0, 40, 4).origin_keepers(&attempt, &server, 0);
+        let elsewhere = (0..40)
+            .map(|at| location(at, 4))
+            .filter(|gateway| gateway.data_centre != server.data_centre)
+            .filter(|gateway| told.contains(&gateway.vm));
+        assert_eq!(elsewhere.count(), 1);
+    }
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: ServiceName::from("s"),
+        software_version: SoftwareVersion::from(version),
+    }
+}
+
+#[test]
+fn stream_keeps_its_first_origin() {
+    let mut table = OriginTable::default();
+    let attempt = RequestId::from("a");
+    assert!(table.record(&attempt, &origin("v1"), 0));
+    assert!(!table.record(&attempt, &origin("v2"), 1));
+    assert_eq!(table.get(&attempt), Some(&origin("v1")));
+}
+
+#[test]
+fn remembered_streams_are_bounded() {
+    let mut table = OriginTable::default();
+    for at in 0..40_000 {
+        table.record(&RequestId::from(format!("{at}")), &origin("v1"), at);
+    }
+    assert!(table.len() <= 16_384);
+    assert!(!table.record(&RequestId::from("x".repeat(65)), &origin("v1"), 40_000));
+    table.record(
+        &RequestId::from("last"),
+        &origin("v1"),
+        41_000 + MAX_STREAM_AGE_MS,
+    );
+    assert_eq!(table.len(), 1, "old streams are forgotten");
+}
+
+#[test]
+fn a_lookup_ends_when_nobody_can_answer() {
+    let mut lookups = OriginLookups::default();
+    let attempt = RequestId::from("a");
+    let (first, second) = (VmName::from("vm-1"), VmName::from("vm-2"));
+    lookups.begin(&attempt, [first.clone(), second.clone()]);
+    lookups.begin(&attempt, [first.clone()]);
+    lookups.record_unknown(&attempt, &first);
+    assert_eq!(lookups.unanswered(&attempt).len(), 1);
+    lookups.end(&attempt);
+    assert_eq!(
+        lookups.unanswered(&attempt),
+        [second],
+        "one call still waits"
+    );
+    lookups.end(&attempt);
+    assert!(lookups.unanswered(&attempt).is_empty());
+}
+
+fn target(version: &str) -> TargetEntry {
+    TargetEntry {
+        name: TargetName::from(format!("t-{version}")),
+        service: ServiceName::from("s"),
+        address: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
+        data_centre: DataCentreName::from("here"),
+        software_version: SoftwareVersion::from(version),
+        slots: 64,
+        draining: false,
+        started_at_unix_ms: 1,
+    }
+}
+
+/// Records reads from `from_ms` to `to_ms` that see targets of these versions.
+fn record_reads(history: &mut VersionHistory, versions: &[&str], from_ms: u64, to_ms: u64) {
+    let targets: Vec<TargetEntry> = versions.iter().map(|version| target(version)).collect();
+    let mut now_ms = from_ms;
+    while now_ms <= to_ms {
+        history.record_read(&targets, now_ms);
+        now_ms += READ_INTERVAL_MS;
+    }
+}
+
+#[test_case(&["v1"], &["v1"] => Some("v1".to_owned()); "one version")]
+#[test_case(&["v1", "v2"], &["v1", "v2"] => None; "two versions")]
+#[test_case(&["v1"], &["v2"] => None; "a version that has just left")]
+#[test_case(&[], &[] => None; "no version")]
+fn only_version(before: &[&str], now: &[&str]) -> Option<String> {
+    let mut history = VersionHistory::default();
+    record_reads(&mut history, before, 0, 1_000);
+    record_reads(&mut history, now, 1_200, 2_000);
+    let version = history.only_version(&ServiceName::from("s"));
+    version.map(ToString::to_string)
+}
+
+#[test]
+fn version_that_left_long_ago_began_no_stream() {
+    let mut history = VersionHistory::default();
+    record_reads(&mut history, &["v1"], 0, 1_000);
+    record_reads(&mut history, &["v2"], 1_200, 2_000 + MAX_STREAM_AGE_MS);
+    let version = history.only_version(&ServiceName::from("s"));
+    assert_eq!(version, Some(&SoftwareVersion::from("v2")));
+}
+
+#[test]
+fn history_with_a_gap_proves_nothing() {
+    let mut history = VersionHistory::default();
+    assert!(!history.is_gapless(0), "nothing was read");
+    record_reads(&mut history, &["v1"], 0, 10_000);
+    assert!(!history.is_gapless(10_000), "streams may be older");
+    record_reads(&mut history, &["v1"], 10_400, MAX_STREAM_AGE_MS);
+    assert!(history.is_gapless(MAX_STREAM_AGE_MS));
+    assert!(
+        !history.is_gapless(MAX_STREAM_AGE_MS + 5_000),
+        "the store is away"
+    );
+    history.record_read(&[target("v1")], MAX_STREAM_AGE_MS + 5_000);
+    assert!(
+        !history.is_gapless(MAX_STREAM_AGE_MS + 5_000),
+        "a version may have been missed"
+    );
+}
--- a/crates/toucanctl/src/commands/explain_log.rs
+++ b/crates/toucanctl/src/commands/explain_log.rs
@@ -43,6 +43,14 @@
         "no_target",
         "no target could be connected to, or all have as many calls as they may have",
     ),
+    (
+        "stream_origin_unknown",
+        "no gateway that was asked knew which software version began the stream",
+    ),
+    (
+        "no_target_of_version",
+        "no target ran the software version that began the stream",
+    ),
     (
         "overloaded",
         "the best engine was too far behind; the caller was told when to come back",
