Send no calls to a target that states in a response that it is leaving

A target that leaves says so in all its answers, perhaps before its registration is read.

Cause: the header was not read.

Change: any response with it, also a refusal, an error, an answer to another call or a stream, marks the start of the target as leaving. It gets no new calls, whatever its registration says, until another start of it registers. The other gateways of the data centre are told by datagram. Running streams stay; idle connections are closed.

Ruled out: health answers, which the gateway does not ask for.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -11,7 +11,7 @@
     net::UdpSocket,
     sync::{Notify, watch},
 };
-use toucan_types::{OrganisationName, RequestId, ServiceName, Tokens, VmName};
+use toucan_types::{OrganisationName, RequestId, ServiceName, TargetName, Tokens, VmName};
 
 use crate::{
     Platform,
@@ -226,6 +226,26 @@
         }
     }
 
+    /// Records that a target is leaving, and tells the other gateways of this data centre if it was
+    /// not known.
+    pub(crate) fn record_leaving_target(&self, target: &TargetName, started_at_unix_ms: u64) {
+        let is_new = {
+            let targets = &mut self.state.borrow_mut().targets;
+            targets.record_leaving(target, started_at_unix_ms)
+        };
+        if !is_new {
+            return;
+        }
+        metrics::counter!("toucan_leaving_targets_total").increment(1);
+        log::info!(target: "target", name = target.as_str(); "the target states that it is leaving");
+        let neighbours = self.state.borrow().members.neighbours(&self.location);
+        let message = PeerMessage::TargetLeaving {
+            target: target.clone(),
+            started_at_unix_ms,
+        };
+        self.send_to_peers(neighbours.iter(), message);
+    }
+
     /// Sends a message to other gateways without guaranteed delivery.
     pub(crate) fn send_to_peers<'a>(
         &self,
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -44,6 +44,7 @@
                 "service": target.entry.service.as_str(),
                 "software_version": target.entry.software_version.as_str(),
                 "draining": target.entry.draining,
+                "is_leaving": target.is_leaving,
                 "in_flight": target.in_flight,
                 "load": target.load(now_ms),
                 "failed_part": target.failures.failure_rate(),
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -12,6 +12,8 @@
     time::sleep,
 };
 
+use toucan_types::TargetName;
+
 use crate::{
     Gateway, Platform,
     config::CallerLimits,
@@ -148,9 +150,12 @@
 async fn sweep_connections<P: Platform>(gateway: Rc<Gateway<P>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
-        let is_known =
-            |name: &toucan_types::TargetName| gateway.state.borrow().targets.get(name).is_some();
-        gateway.pool.sweep(is_known, gateway.now_ms());
+        let is_in_use = |name: &TargetName| {
+            let state = gateway.state.borrow();
+            let target = state.targets.get(name);
+            target.is_some_and(|target| !target.is_leaving)
+        };
+        gateway.pool.sweep(is_in_use, gateway.now_ms());
     }
 }
 
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -70,6 +70,13 @@
         /// The caller's attempt that received the first event.
         attempt: RequestId,
     },
+    /// Tells that a target has stated in a response that it is leaving.
+    TargetLeaving {
+        /// Target.
+        target: TargetName,
+        /// Unix time of the target's start.
+        started_at_unix_ms: u64,
+    },
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -4,6 +4,8 @@
 
 use toucan_types::{DataCentreName, FastHashMap, VmName};
 
+use super::GatewayLocation;
+
 /// Time after its last datagram or its registration for which a gateway counts as live.
 const LIVENESS_TIMEOUT_MS: u64 = 5_000;
 /// Time since its last datagram after which a gateway no longer counts at all. VMs that were
@@ -93,6 +95,15 @@
         self.by_vm.iter()
     }
 
+    /// Returns the other gateways in the data centre of `local`.
+    pub(crate) fn neighbours(&self, local: &GatewayLocation) -> Vec<VmName> {
+        let neighbours = self
+            .by_vm
+            .iter()
+            .filter(|(_vm, member)| member.entry.data_centre == local.data_centre);
+        neighbours.map(|(vm, _member)| vm.clone()).collect()
+    }
+
     /// Returns the number of gateways that share the fleet's limits, including this one.
     ///
     /// A gateway that hears from a majority assumes that the others have ended or are a minority
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -21,6 +21,8 @@
     pub failures: FailureHistory,
     /// Estimate of the prompt parts that the target has cached.
     pub prompt_cache: PromptCacheEstimate,
+    /// Whether the target has stated that it is leaving.
+    pub is_leaving: bool,
     /// End of the grace period after deregistration; [`None`] while the target is registered.
     pub usable_until_ms: Option<u64>,
     /// Loads that other VMs reported, by the random identifier of the process's start.
@@ -50,6 +52,7 @@
             unread_tokens: 0,
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
+            is_leaving: false,
             usable_until_ms: None,
             peer_loads: FastHashMap::default(),
         }
@@ -65,7 +68,7 @@
     /// Returns whether new calls may be sent to the target.
     #[must_use]
     pub fn accepts_calls(&self, now_ms: u64) -> bool {
-        !self.entry.draining && !self.is_expired(now_ms)
+        !self.entry.draining && !self.is_leaving && !self.is_expired(now_ms)
     }
 
     /// Sets another VM's load: its calls in flight here, and their unprocessed prompt tokens.
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -82,6 +82,20 @@
         }
     }
 
+    /// Records that a target, in the start that began at `started_at_unix_ms`, states that it is
+    /// leaving. It gets no new calls, whatever its registration says.
+    ///
+    /// Returns whether this was not known.
+    pub fn record_leaving(&mut self, name: &TargetName, started_at_unix_ms: u64) -> bool {
+        let Some(target) = self.by_name.get_mut(name) else {
+            return false;
+        };
+        if target.entry.started_at_unix_ms != started_at_unix_ms {
+            return false;
+        }
+        !std::mem::replace(&mut target.is_leaving, true)
+    }
+
     /// Returns whether a target or its data centre is in backoff.
     #[must_use]
     pub fn is_avoided(&self, target: &TargetState, now_ms: u64) -> bool {
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -146,13 +146,13 @@
         drop(surplus);
     }
 
-    /// Closes expired idle connections and those of unknown targets.
-    pub(crate) fn sweep(&self, is_known: impl Fn(&TargetName) -> bool, now_ms: u64) {
+    /// Closes expired idle connections and those of targets that are no longer in use.
+    pub(crate) fn sweep(&self, is_in_use: impl Fn(&TargetName) -> bool, now_ms: u64) {
         let mut closed = Vec::new();
         {
             let mut targets = self.by_target.borrow_mut();
             for (name, pooled) in targets.iter_mut() {
-                let keep = is_known(name);
+                let keep = is_in_use(name);
                 let (stay, go): (Vec<_>, Vec<_>) = pooled.idle.drain(..).partition(|idle| {
                     keep && now_ms < idle.usable_until_ms && !idle.connection.sender.is_closed()
                 });
@@ -163,7 +163,7 @@
         drop(closed);
         self.by_target
             .borrow_mut()
-            .retain(|name, pooled| pooled.open > 0 || is_known(name));
+            .retain(|name, pooled| pooled.open > 0 || is_in_use(name));
     }
 
     /// Returns the number of open connections to all targets.
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -34,6 +34,15 @@
     pub(crate) head_timeout: Duration,
     /// Current time.
     pub(crate) now_ms: u64,
+    /// Receives what the target states about itself, also if its response is of no use.
+    pub(crate) notice: &'a mut TargetNotice,
+}
+
+/// What a target states about itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct TargetNotice {
+    /// Whether it is leaving.
+    pub(crate) is_leaving: bool,
 }
 
 /// A response whose headers were received but whose body was not read to its end.
@@ -85,6 +94,7 @@
     })?;
     let (parts, body) = response.into_parts();
     let head = format.read_response(parts.status, &parts.headers);
+    exchange.notice.is_leaving = head.is_leaving;
     if head.id.as_ref().is_some_and(|id| id != exchange.id) {
         // A late response to an earlier call. Returning here drops the connection and with it
         // the rest of that response.
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -21,7 +21,7 @@
 
 use super::{
     call::{Call, CallTracker, InFlightCall},
-    exchange::{Exchange, OpenResponse, remove_connection_headers, send_request},
+    exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     read_call::hash_id,
 };
 
@@ -240,6 +240,7 @@
     tracker.log.sent_to.push(target.name.to_string());
     let software_version = target.software_version.to_string();
     tracker.log.software_versions.push(software_version);
+    let mut notice = TargetNotice::default();
     let exchange = Exchange {
         target,
         id: &call.id,
@@ -247,9 +248,12 @@
         max_connections: chosen.max_connections,
         head_timeout: head_timeout(call, now_ms),
         now_ms,
+        notice: &mut notice,
     };
     tracker.mark_may_have_run();
-    let received = match send_request(&gateway.platform, &gateway.pool, exchange).await {
+    let exchanged = send_request(&gateway.platform, &gateway.pool, exchange).await;
+    apply_notice(gateway, target, notice);
+    let received = match exchanged {
         Ok(response) => {
             tracker.log.framing = response.framing;
             read_response(gateway, call, response, &mut in_flight_call).await
@@ -295,6 +299,13 @@
     }
 }
 
+/// Applies what a target states about itself.
+fn apply_notice<P: Platform>(gateway: &Gateway<P>, target: &TargetEntry, notice: TargetNotice) {
+    if notice.is_leaving {
+        gateway.record_leaving_target(&target.name, target.started_at_unix_ms);
+    }
+}
+
 /// Returns the maximum wait for the response headers.
 ///
 /// An idempotent call that may be sent to another target does not wait for a silent one until the
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -204,6 +204,15 @@
             let answer = PeerMessage::StreamOrigin { attempt, origin };
             gateway.send_to_peers(std::iter::once(&datagram.vm), answer);
         }
+        PeerMessage::TargetLeaving {
+            target,
+            started_at_unix_ms,
+        } => {
+            let targets = &mut gateway.state.borrow_mut().targets;
+            if targets.record_leaving(&target, started_at_unix_ms) {
+                log::info!(target: "target", name = target.as_str(), vm = datagram.vm.as_str(); "another gateway tells that the target is leaving");
+            }
+        }
     }
 }
 
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -86,6 +86,8 @@
     pub is_stamped: bool,
     /// Whether the body has a content encoding, and so is not the target's original body.
     pub is_encoded: bool,
+    /// Whether the target states that it is leaving and must get no new calls.
+    pub is_leaving: bool,
 }
 
 /// Formats of the deployment that the gateway runs in.
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -133,6 +133,19 @@
     assert!(choose(&table, &prompt(1), &[TargetName::from("t1")], 1, 0).is_none());
 }
 
+#[test]
+fn target_that_states_that_it_is_leaving_gets_no_calls_until_it_restarts() {
+    let mut table = table(1);
+    let name = TargetName::from("t0");
+    assert!(!table.record_leaving(&name, 0), "an earlier start");
+    assert!(table.record_leaving(&name, 1));
+    assert!(!table.record_leaving(&name, 1), "known");
+    table.register(entry("t0", 1));
+    assert!(choose(&table, &prompt(1), &[], 1, 0).is_none());
+    table.register(entry("t0", 2));
+    assert!(choose(&table, &prompt(1), &[], 1, 0).is_some());
+}
+
 #[test]
 fn target_in_backoff_is_used_only_if_all_are() {
     let mut table = table(2);
