Give a target that asks for rest the time that it asks for

Cause: Retry-After of a target's 503 was not read.

Change: a 503 with Retry-After keeps new calls of this VM from that start of the target for that time, up to ten minutes, and up to a quarter or a second longer by a random number of the process, so that not all VMs come back at one moment. If all targets that could take a call rest, the call is refused at once as not run, with the time until the first rest ends and never less. No retry is taken from the allowance if no target is left to get it. A missing, negative, infinite, absurd or unreadable value asks for nothing.

Evidence: target_that_asks_for_rest_gets_no_calls_until_it_ends fails if the header is not read (tried); the case with a second target passes either way and holds that calls go on. Cases of formats.rs and placement.rs. toucan_gateway, toucan_on_platform and toucanctl green.

Weighed: passing the rest on to other VMs.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use rand::Rng;
@@ -246,6 +247,29 @@
         self.send_to_peers(neighbours.iter(), message);
     }
 
+    /// Records that a target wants no calls from this VM for some time.
+    pub(crate) fn record_resting_target(
+        &self,
+        target: &TargetName,
+        started_at_unix_ms: u64,
+        rest: Duration,
+    ) {
+        let now_ms = self.now_ms();
+        let targets = &mut self.state.borrow_mut().targets;
+        let until_ms = targets.record_rest(target, started_at_unix_ms, rest, self.start_id, now_ms);
+        let Some(until_ms) = until_ms else {
+            return;
+        };
+        metrics::counter!("toucan_resting_targets_total").increment(1);
+        log::info!(
+            target: "target",
+            name = target.as_str(),
+            asked_ms = rest.as_millis() as u64,
+            rests_ms = until_ms.saturating_sub(now_ms);
+            "the target asks for rest"
+        );
+    }
+
     /// Sends a message to other gateways without guaranteed delivery.
     pub(crate) fn send_to_peers<'a>(
         &self,
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -95,7 +95,7 @@
     let candidates: Vec<&TargetState> = table
         .of_service(service)
         .filter(|target| target.accepts_calls(now_ms))
-        .filter(|target| has_version(target, request.software_version))
+        .filter(|target| target.has_version(request.software_version))
         .filter(|target| !request.tried.contains(&target.entry.name))
         .filter(|target| target.in_flight < request.max_in_flight)
         .collect();
@@ -119,10 +119,6 @@
         .map(|(_delay_ms, _tie, target)| estimate(request, target, settings, now_ms))
 }
 
-fn has_version(target: &TargetState, software_version: Option<&SoftwareVersion>) -> bool {
-    software_version.is_none_or(|version| target.entry.software_version == *version)
-}
-
 /// Returns the choice of a target with its expected times, which assume an engine.
 fn estimate<'a>(
     request: &ChoiceRequest<'_>,
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use toucan_types::FastHashMap;
+use toucan_types::{FastHashMap, SoftwareVersion};
 
 use crate::config::TargetEntry;
 
@@ -23,6 +23,8 @@
     pub prompt_cache: PromptCacheEstimate,
     /// Whether the target has stated that it is leaving.
     pub is_leaving: bool,
+    /// Time until which the target wants no calls from this VM.
+    pub resting_until_ms: u64,
     /// End of the grace period after deregistration; [`None`] while the target is registered.
     pub usable_until_ms: Option<u64>,
     /// Loads that other VMs reported, by the random identifier of the process's start.
@@ -53,6 +55,7 @@
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
             is_leaving: false,
+            resting_until_ms: 0,
             usable_until_ms: None,
             peer_loads: FastHashMap::default(),
         }
@@ -65,12 +68,24 @@
             .is_some_and(|until_ms| now_ms >= until_ms)
     }
 
-    /// Returns whether new calls may be sent to the target.
+    /// Returns whether the target runs a software version, or whether any will do.
     #[must_use]
-    pub fn accepts_calls(&self, now_ms: u64) -> bool {
+    pub fn has_version(&self, software_version: Option<&SoftwareVersion>) -> bool {
+        software_version.is_none_or(|version| self.entry.software_version == *version)
+    }
+
+    /// Returns whether the target is registered and not leaving.
+    #[must_use]
+    pub fn is_in_service(&self, now_ms: u64) -> bool {
         !self.entry.draining && !self.is_leaving && !self.is_expired(now_ms)
     }
 
+    /// Returns whether new calls may be sent to the target now.
+    #[must_use]
+    pub fn accepts_calls(&self, now_ms: u64) -> bool {
+        self.is_in_service(now_ms) && now_ms >= self.resting_until_ms
+    }
+
     /// Sets another VM's load: its calls in flight here, and their unprocessed prompt tokens.
     pub fn set_peer_load(&mut self, peer: u64, in_flight: u32, unread_tokens: u64, now_ms: u64) {
         let load = PeerLoad {
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -43,6 +43,8 @@
 pub(crate) struct TargetNotice {
     /// Whether it is leaving.
     pub(crate) is_leaving: bool,
+    /// Time for which it wants no calls from this VM.
+    pub(crate) rest: Option<Duration>,
 }
 
 /// A response whose headers were received but whose body was not read to its end.
@@ -94,7 +96,10 @@
     })?;
     let (parts, body) = response.into_parts();
     let head = format.read_response(parts.status, &parts.headers);
-    exchange.notice.is_leaving = head.is_leaving;
+    *exchange.notice = TargetNotice {
+        is_leaving: head.is_leaving,
+        rest: head.rest,
+    };
     if head.id.as_ref().is_some_and(|id| id != exchange.id) {
         // A late response to an earlier call. Returning here drops the connection and with it
         // the rest of that response.
--- a/crates/toucan_gateway/src/serving/response.rs
+++ b/crates/toucan_gateway/src/serving/response.rs
@@ -16,6 +16,8 @@
 
 /// Range of the random factor applied to `Retry-After`.
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.8..1.4;
+/// The same if an earlier retry is certain to fail.
+const EXACT_RETRY_AFTER_JITTER: std::ops::Range<f64> = 1.0..1.4;
 
 /// the answer ended before it was complete
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -88,7 +90,12 @@
     }
     if let Some(wait) = refusal.retry_after() {
         // Jitter keeps callers that are refused together from retrying at the same time.
-        let jitter = rand::rng().random_range(RETRY_AFTER_JITTER);
+        let jitter = if refusal.is_retry_after_exact() {
+            EXACT_RETRY_AFTER_JITTER
+        } else {
+            RETRY_AFTER_JITTER
+        };
+        let jitter = rand::rng().random_range(jitter);
         let seconds = format!("{:.3}", wait.as_secs_f64() * jitter);
         match HeaderValue::try_from(seconds) {
             Ok(value) => {
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -13,7 +13,8 @@
     Gateway, Platform, Refusal,
     config::{RouteKind, TargetEntry},
     placement::{
-        CallOutcome, ChoiceRequest, ChoiceSettings, choose_target, overload_retry_after_ms,
+        CallOutcome, ChoiceRequest, ChoiceSettings, TargetTable, choose_target,
+        overload_retry_after_ms,
     },
     retries::{CallProgress, NextStep, SendFailure, connection_share, next_step},
     streams::StreamOrigin,
@@ -109,6 +110,9 @@
         match step {
             NextStep::TryUnsent => {}
             NextStep::SendAgainOr(refusal) => {
+                if choose_for_call(gateway, call, now_ms).is_none() {
+                    return Err((refusal_without_target(gateway, call), "no target is left"));
+                }
                 if !take_retry(gateway, &call.service, now_ms) {
                     return Err((refusal, "no retry is left in the allowance"));
                 }
@@ -120,11 +124,20 @@
 
 /// Returns the refusal of a call that no target may get.
 fn refusal_without_target<P: Platform>(gateway: &Gateway<P>, call: &Call) -> Refusal {
+    if call.progress.may_have_run {
+        return Refusal::TargetFailed;
+    }
+    let now_ms = gateway.now_ms();
+    let state = gateway.state.borrow();
+    let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
+    let rest_ms = state
+        .targets
+        .shortest_rest_ms(&call.service, software_version, now_ms);
+    if let Some(return_ms) = rest_ms {
+        return Refusal::TargetsResting { return_ms };
+    }
     match call.progress {
-        CallProgress {
-            may_have_run: true, ..
-        } => Refusal::TargetFailed,
-        CallProgress { sends: 0, .. } if is_version_gone(gateway, call) => {
+        CallProgress { sends: 0, .. } if is_version_gone(&state.targets, call, now_ms) => {
             Refusal::NoTargetOfVersion
         }
         CallProgress { sends: 0, .. } => Refusal::NoTarget,
@@ -133,15 +146,13 @@
 }
 
 /// Returns whether the call resumes a stream and no target runs the version that began it.
-fn is_version_gone<P: Platform>(gateway: &Gateway<P>, call: &Call) -> bool {
+fn is_version_gone(targets: &TargetTable, call: &Call, now_ms: u64) -> bool {
     let Some(origin) = &call.origin else {
         return false;
     };
-    let now_ms = gateway.now_ms();
-    let state = gateway.state.borrow();
-    let mut targets = state.targets.of_service(&origin.service);
+    let mut targets = targets.of_service(&origin.service);
     !targets.any(|target| {
-        target.accepts_calls(now_ms) && target.entry.software_version == origin.software_version
+        target.is_in_service(now_ms) && target.has_version(Some(&origin.software_version))
     })
 }
 
@@ -304,6 +315,9 @@
     if notice.is_leaving {
         gateway.record_leaving_target(&target.name, target.started_at_unix_ms);
     }
+    if let Some(rest) = notice.rest {
+        gateway.record_resting_target(&target.name, target.started_at_unix_ms, rest);
+    }
 }
 
 /// Returns the maximum wait for the response headers.
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -1,5 +1,7 @@
 //! Formats of calls, responses, configurations and registrations on the wire.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::HeaderMap;
 use toucan_types::{Finding, OrganisationName, RequestId, TargetName, Tokens};
@@ -88,6 +90,8 @@
     pub is_encoded: bool,
     /// Whether the target states that it is leaving and must get no new calls.
     pub is_leaving: bool,
+    /// Time for which the target wants no calls from this VM; [`None`] if it asks for no rest.
+    pub rest: Option<Duration>,
 }
 
 /// Formats of the deployment that the gateway runs in.
--- a/crates/toucanctl/src/commands/explain_log.rs
+++ b/crates/toucanctl/src/commands/explain_log.rs
@@ -51,6 +51,10 @@
         "no_target_of_version",
         "no target ran the software version that began the stream",
     ),
+    (
+        "targets_resting",
+        "all targets that could take the call had asked for rest; the caller was told when it ends",
+    ),
     (
         "overloaded",
         "the best engine was too far behind; the caller was told when to come back",
