Recover from a store that comes back from an older copy

Cause: the number of the store's last restore was not read. Reads went on at offsets that meant other records now, and draws trusted a log that had forgotten grants.

A draw that is appended late, at an offset given out again, is not held until then and is returned if it exceeds the budget.

--- a/crates/toucan_gateway/src/budget/grant_record.rs
+++ b/crates/toucan_gateway/src/budget/grant_record.rs
@@ -110,6 +110,12 @@
         self.drawn.saturating_sub(self.returned)
     }
 
+    /// Returns whether `other`, of the same owner, was written later. Both totals only grow.
+    #[must_use]
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        self.drawn < other.drawn || self.returned < other.returned
+    }
+
     /// Encodes the record for the log.
     ///
     /// # Errors
--- a/crates/toucan_gateway/src/budget/grant_table.rs
+++ b/crates/toucan_gateway/src/budget/grant_table.rs
@@ -36,6 +36,36 @@
         grants.by_owner.insert(key.owner, record);
     }
 
+    /// Returns whether the table has a newer record of a key than this one.
+    #[must_use]
+    pub fn has_newer(&self, key: &GrantKey, record: &GrantRecord) -> bool {
+        let known = self.record(&key.organisation, &key.owner);
+        known.is_some_and(|known| record.is_older_than(&known))
+    }
+
+    /// Applies the records that were known before the store came back from an older copy, where this
+    /// table has none or an older one.
+    ///
+    /// Returns their keys, whose records have to be written again. A record that was merged into
+    /// another one meanwhile may count twice, which grants too little and never too much.
+    pub fn recover(&mut self, known: &Self) -> Vec<GrantKey> {
+        let mut recovered = Vec::new();
+        for (organisation, grants) in &known.by_organisation {
+            for (owner, record) in &grants.by_owner {
+                let key = GrantKey {
+                    organisation: organisation.clone(),
+                    owner: owner.clone(),
+                };
+                let current = self.record(organisation, owner);
+                if current.is_none_or(|current| current.is_older_than(record)) {
+                    self.apply(key.clone(), Some(*record));
+                    recovered.push(key);
+                }
+            }
+        }
+        recovered
+    }
+
     /// Returns the tokens granted to all owners, spent or not.
     #[must_use]
     pub fn granted(&self, organisation: &OrganisationName) -> Tokens {
--- a/crates/toucan_gateway/src/budget/grant_writer.rs
+++ b/crates/toucan_gateway/src/budget/grant_writer.rs
@@ -16,6 +16,8 @@
     pub prepaid: Tokens,
     /// Tokens that waiting calls need.
     pub waiting: Tokens,
+    /// Whether tokens may be drawn, as far as the store's last restore is concerned.
+    pub may_draw: bool,
     /// Whether this process holds tokens for other gateways and for its next calls.
     pub is_holder: bool,
     /// Number of processes that hold tokens of the budget.
@@ -56,15 +58,28 @@
 
     /// Sets the wallet's drawn tokens to the stored total.
     ///
-    /// To be called after the partition was read to its end.
+    /// To be called after the partition was read to its end. After a restore, a draw from before may
+    /// have been appended late, at an offset that was given out again and without regard to grants
+    /// that the store had forgotten. Its tokens are not held until all grants are known, and are
+    /// returned if they exceed the budget.
     pub fn sync_wallet(
         &self,
         organisation: &OrganisationName,
         grants: &GrantTable,
         wallet: &mut Wallet,
+        snapshot: &OrganisationSnapshot,
     ) {
-        if let Some(stored) = self.stored_record(organisation, grants) {
-            wallet.set_drawn(stored.drawn);
+        let Some(stored) = self.stored_record(organisation, grants) else {
+            return;
+        };
+        let new = stored.drawn.saturating_sub(wallet.drawn());
+        if !new.is_zero() && !snapshot.may_draw {
+            return;
+        }
+        wallet.set_drawn(stored.drawn);
+        let configured = (snapshot.config_version, snapshot.prepaid);
+        if grants.granted(organisation) > grants.prepaid(organisation, configured).1 {
+            wallet.return_new(new);
         }
     }
 
@@ -227,5 +242,8 @@
         holders: snapshot.holders,
         remaining_accept_ms: snapshot.remaining_accept_ms,
     };
-    decide_draw(&input, settings)
+    match decide_draw(&input, settings) {
+        DrawDecision::Draw(_) if !snapshot.may_draw => DrawDecision::Keep,
+        decision => decision,
+    }
 }
--- /dev/null
+++ b/crates/toucan_gateway/src/budget/recovering_grants.rs
@@ -0,0 +1,77 @@
+//! Grants that outlive a restore of the log from an older copy.
+
+use std::collections::BTreeSet;
+
+use super::{GrantKey, GrantRecord, GrantTable};
+
+/// The grants in one partition, with those that a restored log has forgotten.
+///
+/// A restored log lacks its newest records. What this process had read of them stays in the table, and
+/// is to be written again.
+#[derive(Clone, Debug, Default)]
+pub struct RecoveringGrants {
+    table: GrantTable,
+    forgotten: BTreeSet<GrantKey>,
+}
+
+impl RecoveringGrants {
+    /// Returns the newest known record of each owner.
+    #[must_use]
+    pub const fn table(&self) -> &GrantTable {
+        &self.table
+    }
+
+    /// Applies a record that was appended; [`None`] if its key was deleted.
+    pub fn apply(&mut self, key: GrantKey, record: Option<GrantRecord>) {
+        let is_outdated = match &record {
+            // A late append can succeed after a restore, if its expected offset is given out again.
+            Some(record) => self.table.has_newer(&key, record),
+            // The process that deleted the record had read an older one.
+            None => self.forgotten.contains(&key),
+        };
+        if is_outdated {
+            self.forgotten.insert(key);
+            return;
+        }
+        self.forgotten.remove(&key);
+        self.table.apply(key, record);
+    }
+
+    /// Replaces the grants by a snapshot of the log.
+    pub fn load(&mut self, records: impl IntoIterator<Item = (GrantKey, Option<GrantRecord>)>) {
+        *self = Self::default();
+        for (key, record) in records {
+            self.apply(key, record);
+        }
+    }
+
+    /// Replaces the grants by a snapshot of a log that has come back from an older copy, and keeps
+    /// what is known to be newer.
+    pub fn load_restored(
+        &mut self,
+        records: impl IntoIterator<Item = (GrantKey, Option<GrantRecord>)>,
+    ) {
+        let known = std::mem::take(&mut self.table);
+        self.load(records);
+        self.forgotten.extend(self.table.recover(&known));
+    }
+
+    /// Returns the records that are to be written again.
+    pub fn forgotten(&self) -> impl Iterator<Item = (GrantKey, Option<GrantRecord>)> {
+        self.forgotten.iter().map(|key| {
+            let record = self.table.record(&key.organisation, &key.owner);
+            (key.clone(), record)
+        })
+    }
+
+    /// Returns whether records are to be written again.
+    #[must_use]
+    pub fn has_forgotten(&self) -> bool {
+        !self.forgotten.is_empty()
+    }
+
+    /// Records that all forgotten records were written again.
+    pub fn record_rewritten(&mut self) {
+        self.forgotten.clear();
+    }
+}
--- a/crates/toucan_gateway/src/budget/wallet.rs
+++ b/crates/toucan_gateway/src/budget/wallet.rs
@@ -149,6 +149,17 @@
         self.drawn = drawn;
     }
 
+    /// Returns the total tokens drawn, as confirmed by the store.
+    #[must_use]
+    pub const fn drawn(&self) -> Tokens {
+        self.drawn
+    }
+
+    /// Returns tokens that were confirmed as drawn just now.
+    pub fn return_new(&mut self, tokens: Tokens) {
+        self.returned = self.returned.saturating_add(tokens);
+    }
+
     /// Removes up to `tokens` available tokens that are to be returned to the store, and returns
     /// their number.
     ///
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -34,7 +34,8 @@
 /// Renders the targets and budgets as this process knows them, as JSON.
 fn state_dump<P: Platform>(gateway: &Gateway<P>) -> String {
     let now_ms = gateway.now_ms();
-    let state = gateway.state.borrow();
+    let mut state = gateway.state.borrow_mut();
+    let may_draw = state.may_draw(now_ms);
     let targets: Vec<_> = state
         .targets
         .iter()
@@ -76,6 +77,7 @@
         "is_ready": state.is_ready(),
         "calls_in_progress": state.calls_in_progress,
         "gateways": state.members.process_count(now_ms),
+        "may_draw": may_draw,
         "remembered_streams": state.stream_origins.len(),
         "target_connections": gateway.pool.total_open(),
         "targets": targets,
--- a/crates/toucan_gateway/src/keyed_log.rs
+++ b/crates/toucan_gateway/src/keyed_log.rs
@@ -114,6 +114,12 @@
         wait: Duration,
     ) -> impl Future<Output = Result<ReadBatch, ReadError>>;
 
+    /// Returns the number of the last restore of the log from an older copy, as last heard; 0 if there
+    /// was none.
+    ///
+    /// A restore loses the newest records and gives their offsets out again.
+    fn last_restore(&self) -> u64;
+
     /// Appends records atomically and returns the new end offset.
     ///
     /// If `expected_end` is given, nothing is appended unless the partition ends at that offset.
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -3,7 +3,7 @@
 use displaydoc::Display;
 use toucan_types::{OrganisationName, RequestId, TargetName, Tokens, VmName};
 
-use crate::streams::StreamOrigin;
+use crate::{budget::PeerRecovery, streams::StreamOrigin};
 
 use super::TransferId;
 
@@ -70,6 +70,8 @@
         /// The caller's attempt that received the first event.
         attempt: RequestId,
     },
+    /// Tells how far the sender has come since the store's last restore.
+    Recovery(PeerRecovery),
     /// Tells that a target has stated in a response that it is leaving.
     TargetLeaving {
         /// Target.
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -4,10 +4,14 @@
 
 use toucan_types::{DataCentreName, FastHashMap, VmName};
 
+use crate::budget::PeerRecovery;
+
 use super::GatewayLocation;
 
 /// Time after its last datagram or its registration for which a gateway counts as live.
 const LIVENESS_TIMEOUT_MS: u64 = 5_000;
+/// Time since its last datagram for which a gateway may hold tokens that a restored store forgot.
+const RECOVERING_MS: u64 = 20_000;
 /// Time since its last datagram after which a gateway no longer counts at all. VMs that were
 /// replaced stay registered and would otherwise keep a share of the fleet's limits forever.
 const MEMBER_EXPIRY_MS: u64 = 600_000;
@@ -32,6 +36,8 @@
     pub(crate) entry: MemberEntry,
     /// Time of its last datagram or registration.
     pub last_seen_ms: u64,
+    /// How far it has come since the store's last restore.
+    pub(crate) recovery: PeerRecovery,
 }
 
 impl Member {
@@ -59,6 +65,7 @@
         let member = Member {
             entry,
             last_seen_ms: now_ms,
+            recovery: PeerRecovery::default(),
         };
         self.by_vm.insert(vm, member);
     }
@@ -116,6 +123,13 @@
         others.map_or(u32::MAX, |others| others.saturating_add(1))
     }
 
+    /// Returns how far the other gateways have come since the store's last restore, without those that
+    /// were silent before it.
+    pub(crate) fn recoveries(&self, now_ms: u64) -> impl Iterator<Item = &PeerRecovery> {
+        self.seen_within(RECOVERING_MS, now_ms)
+            .map(|(_vm, member)| &member.recovery)
+    }
+
     /// Returns the other gateways that [`Self::process_count`] counts.
     pub(crate) fn counted(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
         let registered = 1 + self.seen_within(MEMBER_EXPIRY_MS, now_ms).count();
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -44,7 +44,7 @@
 
 impl TargetTable {
     /// Applies a registration.
-    pub fn register(&mut self, entry: TargetEntry) -> TargetChange {
+    pub fn register(&mut self, mut entry: TargetEntry) -> TargetChange {
         let Some(known) = self.by_name.get_mut(&entry.name) else {
             let state = TargetState::new(Rc::new(entry));
             self.by_name.insert(state.entry.name.clone(), state);
@@ -63,6 +63,8 @@
             known.in_flight = in_flight;
             return TargetChange::Started;
         }
+        // A target that leaves does not come back in the same start, whatever an older record says.
+        entry.draining |= known.entry.draining;
         known.entry = Rc::new(entry);
         if starts_draining {
             TargetChange::Draining
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -6,7 +6,7 @@
 use toucan_types::{FastHashMap, OrganisationName, ServiceName, Tokens};
 
 use crate::{
-    budget::Wallet,
+    budget::{RestoreGate, Wallet},
     config::FleetConfig,
     peers::{GatewayLocation, Members},
     placement::TargetTable,
@@ -42,6 +42,8 @@
     pub(crate) grants_unreachable: bool,
     /// Whether the grants have been read at least once.
     pub(crate) grants_loaded: bool,
+    /// Holds back draws after a restore of the store.
+    pub(crate) restore_gate: RestoreGate,
     /// Wallet of each organisation.
     pub(crate) wallets: FastHashMap<OrganisationName, Wallet>,
     /// Tokens that calls are waiting for, by organisation.
@@ -164,6 +166,12 @@
             })
     }
 
+    /// Returns whether tokens may be drawn, as far as the store's last restore is concerned.
+    pub(crate) fn may_draw(&mut self, now_ms: u64) -> bool {
+        let recoveries = self.members.recoveries(now_ms);
+        self.restore_gate.update(recoveries, now_ms)
+    }
+
     /// Returns whether this gateway holds tokens of an organisation for its data centre.
     pub(crate) fn is_holder(
         &self,
--- a/crates/toucan_gateway/src/tasks/grant_sync.rs
+++ b/crates/toucan_gateway/src/tasks/grant_sync.rs
@@ -11,15 +11,18 @@
 use crate::{
     Gateway, Platform,
     budget::{
-        DrawSettings, GatewayProcess, GrantKey, GrantRecord, GrantRecordError, GrantTable,
-        GrantWriter, OrganisationSnapshot,
+        DrawSettings, GatewayProcess, GrantKey, GrantRecord, GrantRecordError, GrantWriter,
+        OrganisationSnapshot, RecoveringGrants,
     },
     config::Organisation,
     keyed_log::{AppendError, KeyedRecord, ReadError, Topic},
     state::{BudgetSnapshot, GatewayState},
 };
 
-use super::{partition_consumer::PartitionConsumer, store_health::StoreHealth};
+use super::{
+    partition_consumer::{BatchKind, PartitionConsumer},
+    store_health::StoreHealth,
+};
 
 /// Interval between two synchronisations if no call waits for tokens.
 const SYNC_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -49,6 +52,8 @@
     Record(GrantRecordError),
     /// other processes appended first each time
     Contention,
+    /// the store came back from an older copy meanwhile
+    Restored,
 }
 
 impl std::error::Error for GrantError {}
@@ -56,7 +61,7 @@
 /// The grants in one partition.
 struct GrantPartition {
     consumer: PartitionConsumer,
-    grants: GrantTable,
+    grants: RecoveringGrants,
     writer: GrantWriter,
     is_loaded: bool,
 }
@@ -125,14 +130,26 @@
         let number = partition_of(&organisation.name, partitions.len());
         by_partition[number].push(Rc::clone(organisation));
     }
+    let restore = gateway.platform.last_restore();
+    gateway
+        .state
+        .borrow_mut()
+        .restore_gate
+        .observe(restore, began_ms);
     for (partition, organisations) in partitions.iter_mut().zip(&by_partition) {
-        if !partition.is_loaded || partition.needs_update(gateway, organisations) {
+        if partition.must_update(gateway) || partition.needs_update(gateway, organisations) {
             partition
                 .update(gateway, config.version, organisations)
                 .await?;
         }
     }
     let mut state = gateway.state.borrow_mut();
+    if !partitions
+        .iter()
+        .any(|partition| partition.must_update(gateway))
+    {
+        state.restore_gate.record_rewritten(restore);
+    }
     if !state.grants_loaded {
         state.grants_loaded = true;
         log::info!(target: "budget", partitions = partitions.len(); "grants read");
@@ -159,12 +176,20 @@
     fn new(number: u32, process: GatewayProcess) -> Self {
         Self {
             consumer: PartitionConsumer::new(Topic::Grants, number),
-            grants: GrantTable::default(),
+            grants: RecoveringGrants::default(),
             writer: GrantWriter::new(process),
             is_loaded: false,
         }
     }
 
+    /// Returns whether the partition has to be read and perhaps written, whatever its organisations
+    /// need.
+    fn must_update<P: Platform>(&self, gateway: &Gateway<P>) -> bool {
+        !self.is_loaded
+            || self.grants.has_forgotten()
+            || self.consumer.is_before_restore(&gateway.platform)
+    }
+
     /// Returns whether any organisation's grant record may have to be written, according to the
     /// records read last.
     ///
@@ -184,7 +209,7 @@
             let wallet = state.wallet(&organisation.name);
             self.writer.needs_write(
                 &organisation.name,
-                &self.grants,
+                self.grants.table(),
                 wallet,
                 &snapshot,
                 &DRAW_SETTINGS,
@@ -212,7 +237,7 @@
                 .append(self.consumer.partition(), Some(end), &records)
                 .await;
             match appended {
-                Ok(new_end) => {
+                Ok(new_end) if !self.consumer.is_before_restore(&gateway.platform) => {
                     log::info!(
                         target: "budget",
                         partition = self.consumer.partition().number,
@@ -225,6 +250,7 @@
                     self.apply_own(gateway, &records, organisations)?;
                     return Ok(());
                 }
+                Ok(_new_end) => return Err(GrantError::Restored),
                 Err(AppendError::Conflict(_)) => {
                     metrics::counter!("toucan_grant_races_total").increment(1);
                     let writers = gateway
@@ -250,29 +276,32 @@
         loop {
             let read = self.consumer.read(&gateway.platform, Duration::ZERO).await;
             let consumed = read.map_err(GrantError::Read)?;
-            if consumed.is_snapshot {
-                self.grants = GrantTable::default();
-            }
-            for read in &consumed.batch.records {
-                self.apply(&read.record)?;
+            let records = consumed.batch.records.iter();
+            let records = records.map(|read| decode(&read.record));
+            let records = records.collect::<Result<Vec<_>, _>>()?;
+            match consumed.kind {
+                BatchKind::Appended => {
+                    for (key, record) in records {
+                        self.grants.apply(key, record);
+                    }
+                }
+                BatchKind::Snapshot => self.grants.load(records),
+                BatchKind::RestoredSnapshot => {
+                    self.grants.load_restored(records);
+                    log::warn!(
+                        target: "budget",
+                        partition = self.consumer.partition().number,
+                        records = self.grants.forgotten().count();
+                        "grants that the restored store forgot are written again"
+                    );
+                }
             }
-            if !consumed.is_snapshot && consumed.batch.next >= consumed.batch.end {
+            if consumed.kind == BatchKind::Appended && consumed.batch.next >= consumed.batch.end {
                 break Ok(consumed.batch.end);
             }
         }
     }
 
-    fn apply(&mut self, record: &KeyedRecord) -> Result<(), GrantError> {
-        // An unreadable record may be a grant. Drawing without knowing it could exceed the budget.
-        let key = GrantKey::decode(&record.key).map_err(GrantError::Record)?;
-        let value = match &record.value {
-            Some(bytes) => Some(GrantRecord::decode(bytes).map_err(GrantError::Record)?),
-            None => None,
-        };
-        self.grants.apply(key, value);
-        Ok(())
-    }
-
     fn decide<P: Platform>(
         &mut self,
         gateway: &Rc<Gateway<P>>,
@@ -281,6 +310,9 @@
         let now_ms = gateway.now_ms();
         let state = &mut *gateway.state.borrow_mut();
         let mut records = Vec::new();
+        for (key, record) in self.grants.forgotten() {
+            records.push(encode(&key, record)?);
+        }
         for organisation in organisations {
             let name = &organisation.name;
             let Some(snapshot) = self.organisation_snapshot(gateway, state, organisation, now_ms)
@@ -288,10 +320,11 @@
                 continue;
             };
             let wallet = state.wallet(name);
-            self.writer.sync_wallet(name, &self.grants, wallet);
+            self.writer
+                .sync_wallet(name, self.grants.table(), wallet, &snapshot);
             let decided = self.writer.decide(
                 name,
-                &self.grants,
+                self.grants.table(),
                 wallet,
                 &snapshot,
                 &DRAW_SETTINGS,
@@ -311,13 +344,13 @@
                     is_holder = snapshot.is_holder,
                     holders = snapshot.holders,
                     prepaid_tokens = record.prepaid.0,
-                    granted_to_all_tokens = self.grants.granted(name).0;
+                    granted_to_all_tokens = self.grants.table().granted(name).0;
                     "grant decided"
                 );
                 records.push(encode(&self.writer.key(name), Some(record))?);
             }
         }
-        let former_grants = self.grants.former_processes(&gateway.process());
+        let former_grants = self.grants.table().former_processes(&gateway.process());
         for (organisation, former, record) in &former_grants {
             log::info!(
                 target: "budget",
@@ -329,7 +362,7 @@
             );
         }
         if !former_grants.is_empty() {
-            for (key, record) in self.writer.merge_former_grants(&self.grants) {
+            for (key, record) in self.writer.merge_former_grants(self.grants.table()) {
                 records.push(encode(&key, record)?);
             }
         }
@@ -344,28 +377,36 @@
         records: &[KeyedRecord],
         organisations: &[Rc<Organisation>],
     ) -> Result<(), GrantError> {
+        self.grants.record_rewritten();
         for record in records {
-            self.apply(record)?;
+            let (key, record) = decode(record)?;
+            self.grants.apply(key, record);
         }
+        let now_ms = gateway.now_ms();
         let state = &mut *gateway.state.borrow_mut();
         for organisation in organisations {
             let name = &organisation.name;
-            self.writer
-                .sync_wallet(name, &self.grants, state.wallet(name));
+            let snapshot = self.organisation_snapshot(gateway, state, organisation, now_ms);
+            if let Some(snapshot) = snapshot {
+                let wallet = state.wallet(name);
+                self.writer
+                    .sync_wallet(name, self.grants.table(), wallet, &snapshot);
+            }
         }
-        self.publish_budget_snapshots(state, gateway.now_ms(), organisations);
+        self.publish_budget_snapshots(state, now_ms, organisations);
         Ok(())
     }
 
     fn organisation_snapshot<P: Platform>(
         &self,
         gateway: &Gateway<P>,
-        state: &GatewayState,
+        state: &mut GatewayState,
         organisation: &Organisation,
         now_ms: u64,
     ) -> Option<OrganisationSnapshot> {
         let name = &organisation.name;
         let is_holder = state.is_holder(name, &gateway.location, now_ms);
+        let may_draw = state.may_draw(now_ms);
         let waiting = state.waiting(name);
         Some(OrganisationSnapshot {
             config_version: state.config.as_ref()?.version,
@@ -375,10 +416,12 @@
             } else {
                 waiting.overdue
             },
+            may_draw,
             is_holder,
             holders: state.members.holder_count(&gateway.location, now_ms),
             others_rate_per_s: self
                 .grants
+                .table()
                 .rate_per_s(name, |vm| state.members.is_live(vm, now_ms)),
             remaining_accept_ms: state.remaining_accept_ms(now_ms),
         })
@@ -399,12 +442,12 @@
                 continue;
             };
             let name = &organisation.name;
-            let (_version, prepaid) = self.grants.prepaid(name, (version, configured));
+            let (_version, prepaid) = self.grants.table().prepaid(name, (version, configured));
             let snapshot = BudgetSnapshot {
                 read_at_ms,
                 prepaid,
-                granted: self.grants.granted(name),
-                spent: self.grants.spent(name),
+                granted: self.grants.table().granted(name),
+                spent: self.grants.table().spent(name),
             };
             state.budget_snapshots.insert(name.clone(), snapshot);
         }
@@ -413,6 +456,18 @@
 
 const DRAW_SETTINGS: DrawSettings = DrawSettings::DEFAULT;
 
+/// Decodes a record of the log.
+///
+/// An unreadable record may be a grant. Drawing without knowing it could exceed the budget.
+fn decode(record: &KeyedRecord) -> Result<(GrantKey, Option<GrantRecord>), GrantError> {
+    let key = GrantKey::decode(&record.key).map_err(GrantError::Record)?;
+    let value = match &record.value {
+        Some(bytes) => Some(GrantRecord::decode(bytes).map_err(GrantError::Record)?),
+        None => None,
+    };
+    Ok((key, value))
+}
+
 fn encode(key: &GrantKey, record: Option<GrantRecord>) -> Result<KeyedRecord, GrantError> {
     let value = match record {
         Some(record) => Some(Bytes::from(record.encode().map_err(GrantError::Record)?)),
--- a/crates/toucan_gateway/src/tasks/membership.rs
+++ b/crates/toucan_gateway/src/tasks/membership.rs
@@ -12,7 +12,10 @@
     peers::MemberEntry,
 };
 
-use super::{partition_consumer::PartitionConsumer, store_health::StoreHealth};
+use super::{
+    partition_consumer::{BatchKind, PartitionConsumer},
+    store_health::StoreHealth,
+};
 
 /// Maximum time for which one read waits for a new record.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -25,19 +28,21 @@
 /// Registers this gateway, then applies the other gateways' registrations until the process ends.
 pub(crate) async fn watch_members<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut health = StoreHealth::new("members");
-    while let Err(error) = register(&gateway).await {
-        sleep(health.record_failure(&error, gateway.now_ms())).await;
-    }
+    register_again(&gateway).await;
     let mut consumer = PartitionConsumer::new(Topic::Members, 0);
     loop {
         match consumer.read(&gateway.platform, LONG_POLL_TIMEOUT).await {
             Ok(consumed) => {
                 health.record_success(gateway.now_ms());
-                if consumed.is_snapshot {
-                    remove_missing(&gateway, &consumed.batch.records);
-                }
-                for read in &consumed.batch.records {
-                    apply_record(&gateway, read);
+                match consumed.kind {
+                    // The store may have forgotten registrations, also this gateway's. Each gateway
+                    // registers again.
+                    BatchKind::RestoredSnapshot => register_again(&gateway).await,
+                    BatchKind::Snapshot => {
+                        remove_missing(&gateway, &consumed.batch.records);
+                        apply_records(&gateway, &consumed.batch.records);
+                    }
+                    BatchKind::Appended => apply_records(&gateway, &consumed.batch.records),
                 }
                 gateway.state.borrow_mut().members_loaded = true;
             }
@@ -49,6 +54,14 @@
     }
 }
 
+/// Registers this gateway, however often the store has to be called.
+async fn register_again<P: Platform>(gateway: &Rc<Gateway<P>>) {
+    let mut health = StoreHealth::new("registration");
+    while let Err(error) = register(gateway).await {
+        sleep(health.record_failure(&error, gateway.now_ms())).await;
+    }
+}
+
 async fn register<P: Platform>(gateway: &Rc<Gateway<P>>) -> Result<(), AppendError> {
     let entry = gateway.member_entry();
     let value = bincode::serde::encode_to_vec(&entry, bincode::config::standard())
@@ -85,6 +98,12 @@
     state.members.retain(|vm| listed.contains(vm.as_str()));
 }
 
+fn apply_records<P: Platform>(gateway: &Rc<Gateway<P>>, records: &[ReadRecord]) {
+    for read in records {
+        apply_record(gateway, read);
+    }
+}
+
 fn apply_record<P: Platform>(gateway: &Rc<Gateway<P>>, read: &ReadRecord) {
     let vm = VmName::from(read.record.key.as_str());
     if vm == gateway.settings.vm {
--- a/crates/toucan_gateway/src/tasks/partition_consumer.rs
+++ b/crates/toucan_gateway/src/tasks/partition_consumer.rs
@@ -11,6 +11,8 @@
 pub(crate) struct PartitionConsumer {
     partition: Partition,
     next: Option<Offset>,
+    /// Restore of the store after which the last snapshot was read; [`None`] before the first one.
+    restore: Option<u64>,
 }
 
 /// Records returned by one read.
@@ -18,8 +20,20 @@
 pub(crate) struct ConsumedBatch {
     /// Records, ordered by offset.
     pub(crate) batch: ReadBatch,
-    /// Whether the records are a snapshot of all keys, so that missing keys are deleted.
-    pub(crate) is_snapshot: bool,
+    /// What the records are.
+    pub(crate) kind: BatchKind,
+}
+
+/// What the records of one read are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BatchKind {
+    /// Records that were appended after those of the last read.
+    Appended,
+    /// A snapshot of all keys, so that missing keys are deleted.
+    Snapshot,
+    /// A snapshot of a store that has come back from an older copy since the last read. Records that
+    /// were read before may be missing or older in it.
+    RestoredSnapshot,
 }
 
 impl PartitionConsumer {
@@ -28,6 +42,7 @@
         Self {
             partition: Partition { topic, number },
             next: None,
+            restore: None,
         }
     }
 
@@ -36,6 +51,12 @@
         self.partition
     }
 
+    /// Returns whether the store has come back from an older copy since the last snapshot.
+    pub(crate) fn is_before_restore(&self, log: &impl KeyedLog) -> bool {
+        self.restore
+            .is_some_and(|restore| restore != log.last_restore())
+    }
+
     /// Reads the next records, waiting up to `wait` for the first one.
     ///
     /// # Errors
@@ -46,13 +67,17 @@
         log: &impl KeyedLog,
         wait: Duration,
     ) -> Result<ConsumedBatch, ReadError> {
-        if let Some(next) = self.next {
+        if let Some(next) = self.next
+            && !self.is_before_restore(log)
+        {
             match log.read_from(self.partition, next, wait).await {
+                // The offsets were given out again, so the records may follow others that are missing.
+                Ok(_batch) if self.is_before_restore(log) => {}
                 Ok(batch) => {
                     self.next = Some(batch.next);
                     return Ok(ConsumedBatch {
                         batch,
-                        is_snapshot: false,
+                        kind: BatchKind::Appended,
                     });
                 }
                 Err(ReadError::Expired) => {
@@ -61,12 +86,29 @@
                 Err(error) => return Err(error),
             }
         }
-        let batch = log.read_newest(self.partition).await?;
-        self.next = Some(batch.next);
-        Ok(ConsumedBatch {
-            batch,
-            is_snapshot: true,
-        })
+        self.read_snapshot(log).await
+    }
+
+    async fn read_snapshot(&mut self, log: &impl KeyedLog) -> Result<ConsumedBatch, ReadError> {
+        loop {
+            let restore = log.last_restore();
+            let batch = log.read_newest(self.partition).await?;
+            let is_first = self.restore.is_none();
+            if !is_first && log.last_restore() != restore {
+                // The pages may be of both sides of a restore.
+                continue;
+            }
+            let restore = log.last_restore();
+            let kind = if is_first || self.restore == Some(restore) {
+                BatchKind::Snapshot
+            } else {
+                log::warn!(target: "store", partition:? = self.partition, restore = restore, end = batch.end.0; "the store came back from an older copy");
+                BatchKind::RestoredSnapshot
+            };
+            self.restore = Some(restore);
+            self.next = Some(batch.next);
+            return Ok(ConsumedBatch { batch, kind });
+        }
     }
 
     /// Makes the next read return a snapshot.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -79,6 +79,10 @@
             .collect();
         let message = PeerMessage::Load(calls);
         gateway.send_to_peers(vms.iter(), message);
+        let recovery = gateway.state.borrow().restore_gate.to_tell();
+        if let Some(recovery) = recovery {
+            gateway.send_to_peers(vms.iter(), PeerMessage::Recovery(recovery));
+        }
         give_back_idle_tokens(&gateway, now_ms.saturating_sub(IDLE_BEFORE_TRANSFER_MS));
     }
 }
@@ -204,6 +208,11 @@
             let answer = PeerMessage::StreamOrigin { attempt, origin };
             gateway.send_to_peers(std::iter::once(&datagram.vm), answer);
         }
+        PeerMessage::Recovery(recovery) => {
+            if let Some(member) = gateway.state.borrow_mut().members.get_mut(&datagram.vm) {
+                member.recovery = recovery;
+            }
+        }
         PeerMessage::TargetLeaving {
             target,
             started_at_unix_ms,
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -11,7 +11,10 @@
     placement::{DeregistrationGrace, TargetChange},
 };
 
-use super::{partition_consumer::PartitionConsumer, store_health::StoreHealth};
+use super::{
+    partition_consumer::{BatchKind, PartitionConsumer},
+    store_health::StoreHealth,
+};
 
 /// Interval between two reads. Targets write often, and one read returns the records of all.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
@@ -27,11 +30,14 @@
                 let now_ms = gateway.now_ms();
                 grace.record_read(health.record_success(now_ms), now_ms);
                 let usable_until_ms = grace.usable_until_ms(gateway.bounds().drain_ms, now_ms);
-                if consumed.is_snapshot {
+                if consumed.kind != BatchKind::Appended {
                     deregister_missing(&gateway, &consumed.batch.records, usable_until_ms);
                 }
-                for read in &consumed.batch.records {
-                    apply_record(&gateway, read, usable_until_ms);
+                // A restored store may list targets that have left. Those that live write again.
+                if consumed.kind != BatchKind::RestoredSnapshot {
+                    for read in &consumed.batch.records {
+                        apply_record(&gateway, read, usable_until_ms);
+                    }
                 }
                 remove_expired(&gateway, now_ms);
                 record_read(&gateway, now_ms);
--- a/crates/toucan_gateway/tests/budget_histories.rs
+++ b/crates/toucan_gateway/tests/budget_histories.rs
@@ -1,12 +1,16 @@
 //! Property tests of processes that draw from one budget through an unreliable log.
 //!
 //! In the generated histories, answers are lost, appends are lost or delayed, loans are lost,
-//! transfers are lost, repeated or delayed, processes are holders by turns, and processes crash. The tokens spent must never exceed the prepaid total.
+//! transfers are lost, repeated or delayed, processes are holders by turns, processes crash, and the
+//! log comes back from older copies. The tokens spent must never exceed the prepaid total.
+//!
+//! A restore loses no record that only a crashed process knew: each lost record was written or read by
+//! a process that lives on until it has written it again. What nobody knows cannot be recovered.
 
 use proptest::prelude::*;
 use toucan_gateway::budget::{
-    DrawSettings, GatewayProcess, GrantKey, GrantRecord, GrantTable, GrantWriter,
-    OrganisationSnapshot, Wallet,
+    DrawSettings, GatewayProcess, GrantKey, GrantRecord, GrantWriter, OrganisationSnapshot,
+    PeerRecovery, RecoveringGrants, RestoreGate, Wallet,
 };
 use toucan_gateway::peers::{PendingTransfer, Transfers};
 use toucan_types::{DocumentVersion, OrganisationName, Tokens, VmName};
@@ -21,31 +25,46 @@
 #[derive(Default)]
 struct Partition {
     records: Records,
+    /// Writer of each record.
+    writers: Vec<GatewayProcess>,
+    /// Number of restores from an older copy.
+    restores: u64,
     /// Delayed appends with their expected end, applied later if the end has not moved.
-    delayed: Vec<(usize, Records)>,
+    delayed: Vec<(usize, Records, GatewayProcess)>,
 }
 
 impl Partition {
-    fn append(&mut self, at: usize, records: Records) -> bool {
+    fn append(&mut self, at: usize, records: Records, writer: &GatewayProcess) -> bool {
         if self.records.len() != at {
             return false;
         }
         self.records.extend(records);
+        self.writers.resize(self.records.len(), writer.clone());
         true
     }
 
     fn apply_delayed(&mut self) {
-        for (at, records) in std::mem::take(&mut self.delayed) {
-            self.append(at, records);
+        for (at, records, writer) in std::mem::take(&mut self.delayed) {
+            self.append(at, records, &writer);
         }
     }
+
+    /// Comes back from a copy without the newest records.
+    fn restore(&mut self, length: usize) {
+        self.records.truncate(length);
+        self.writers.truncate(length);
+        self.restores += 1;
+    }
 }
 
 /// A process with its view of the partition.
 struct Process {
     id: GatewayProcess,
     writer: GrantWriter,
-    grants: GrantTable,
+    grants: RecoveringGrants,
+    gate: RestoreGate,
+    /// Restores of the log that the process has noticed; [`None`] before its first read.
+    restores: Option<u64>,
     read: usize,
     wallet: Wallet,
     transfers: Transfers,
@@ -61,7 +80,9 @@
         Self {
             writer: GrantWriter::new(id.clone()),
             id,
-            grants: GrantTable::default(),
+            grants: RecoveringGrants::default(),
+            gate: RestoreGate::default(),
+            restores: None,
             read: 0,
             wallet: Wallet::default(),
             transfers: Transfers::default(),
@@ -76,11 +97,24 @@
     }
 
     fn read(&mut self, partition: &Partition) {
-        for (key, record) in &partition.records[self.read..] {
-            self.grants.apply(key.clone(), *record);
+        let is_restored = self
+            .restores
+            .is_some_and(|restores| restores != partition.restores);
+        if is_restored {
+            self.grants.load_restored(partition.records.iter().cloned());
+        } else {
+            for (key, record) in &partition.records[self.read..] {
+                self.grants.apply(key.clone(), *record);
+            }
         }
+        self.restores = Some(partition.restores);
         self.read = partition.records.len();
     }
+
+    /// Returns whether the process has written again what the last restore lost.
+    fn has_recovered(&self, partition: &Partition) -> bool {
+        self.restores == Some(partition.restores) && !self.grants.has_forgotten()
+    }
 }
 
 /// Outcome of an append.
@@ -132,6 +166,10 @@
     TopUp {
         tokens: u64,
     },
+    /// Brings the log back from a copy that lacks this many of its newest records, or fewer.
+    Restore {
+        lost: usize,
+    },
 }
 
 /// A datagram with a transfer, which may arrive more than once and late.
@@ -143,6 +181,8 @@
 }
 
 const PROCESSES: usize = 4;
+/// Time of the gates of draws, which stands still: no gate opens because of a timeout.
+const GATE_NOW_MS: u64 = 0;
 
 fn step() -> impl Strategy<Value = Step> {
     let process = 0..PROCESSES;
@@ -163,7 +203,7 @@
                 waiting,
                 outcome,
                 is_stopping,
-                is_holder,
+            is_holder,
             }
         ),
         2 => Just(Step::ApplyDelayed),
@@ -181,6 +221,7 @@
                 is_delivered,
             }),
         1 => (1..2_000_u64).prop_map(|tokens| Step::TopUp { tokens }),
+        2 => (1..8_usize).prop_map(|lost| Step::Restore { lost }),
     ]
 }
 
@@ -268,9 +309,28 @@
                 self.prepaid += tokens;
                 self.version += 1;
             }
+            Step::Restore { lost } => self.restore(lost),
         }
     }
 
+    fn restore(&mut self, lost: usize) {
+        let live: Vec<&GatewayProcess> = self.processes.iter().map(|p| &p.id).collect();
+        let readers = self.processes.iter();
+        let known = readers
+            .filter(|process| process.restores == Some(self.partition.restores))
+            .map(|process| process.read)
+            .max()
+            .unwrap_or(0);
+        let writers = self.partition.writers.iter().enumerate();
+        let kept = writers
+            .filter(|(at, writer)| *at >= known && !live.contains(writer))
+            .map(|(at, _writer)| at + 1)
+            .max()
+            .unwrap_or(0);
+        let length = self.partition.records.len().saturating_sub(lost).max(kept);
+        self.partition.restore(length);
+    }
+
     fn sync(
         &mut self,
         at: usize,
@@ -279,7 +339,19 @@
         is_stopping: bool,
         is_holder: bool,
     ) {
+        let peers = self.processes.iter().enumerate();
+        let peers: Vec<PeerRecovery> = peers
+            .filter(|(other, _process)| *other != at)
+            .map(|(_other, process)| process.gate.to_tell().unwrap_or_default())
+            .collect();
+        let process = &mut self.processes[at];
+        process.gate.observe(self.partition.restores, GATE_NOW_MS);
+        process.read(&self.partition);
+        if process.has_recovered(&self.partition) {
+            process.gate.record_rewritten(self.partition.restores);
+        }
         let snapshot = OrganisationSnapshot {
+            may_draw: process.gate.update(&peers, GATE_NOW_MS),
             config_version: DocumentVersion(self.version),
             prepaid: Tokens(self.prepaid),
             waiting: Tokens(waiting),
@@ -288,10 +360,9 @@
             others_rate_per_s: 1_000,
             remaining_accept_ms: is_stopping.then_some(0),
         };
-        let process = &mut self.processes[at];
-        process.read(&self.partition);
-        let (writer, grants) = (&process.writer, &process.grants);
-        writer.sync_wallet(&self.organisation, grants, &mut process.wallet);
+        let (writer, grants) = (&process.writer, process.grants.table());
+        let wallet = &mut process.wallet;
+        writer.sync_wallet(&self.organisation, grants, wallet, &snapshot);
         let settings = DrawSettings::default();
         let decided = writer.decide(
             &self.organisation,
@@ -301,7 +372,7 @@
             &settings,
             self.now_ms,
         );
-        let mut records: Records = Vec::new();
+        let mut records: Records = process.grants.forgotten().collect();
         records.extend(decided.map(|record| (writer.key(&self.organisation), Some(record))));
         records.extend(writer.merge_former_grants(grants));
         if records.is_empty() {
@@ -310,19 +381,23 @@
         let end = process.read;
         match outcome {
             AppendOutcome::Answered => {
-                assert!(self.partition.append(end, records), "the end was just read");
+                let is_appended = self.partition.append(end, records, &process.id);
+                assert!(is_appended, "the end was just read");
+                process.grants.record_rewritten();
                 process.read(&self.partition);
-                let process = &mut self.processes[at];
-                process.writer.sync_wallet(
-                    &self.organisation,
-                    &process.grants,
-                    &mut process.wallet,
-                );
+                let grants = process.grants.table();
+                let wallet = &mut process.wallet;
+                process
+                    .writer
+                    .sync_wallet(&self.organisation, grants, wallet, &snapshot);
             }
             AppendOutcome::AnswerLost => {
-                self.partition.append(end, records);
+                self.partition.append(end, records, &process.id);
+            }
+            AppendOutcome::Delayed => {
+                let delayed = (end, records, process.id.clone());
+                self.partition.delayed.push(delayed);
             }
-            AppendOutcome::Delayed => self.partition.delayed.push((end, records)),
             AppendOutcome::Lost => {}
         }
     }
@@ -386,6 +461,11 @@
     /// Replaces a process; the tokens that it had reserved may have been spent at the targets.
     fn crash(&mut self, at: usize) {
         let process = &mut self.processes[at];
+        let knows_lost_records =
+            process.restores.is_some() && !process.has_recovered(&self.partition);
+        if knows_lost_records {
+            return;
+        }
         self.spent += process.reserved.iter().map(|tokens| tokens.0).sum::<u64>();
         self.starts += 1;
         let vm = at;
--- a/crates/toucan_gateway/tests/budgets_lowered.rs
+++ b/crates/toucan_gateway/tests/budgets_lowered.rs
@@ -8,6 +8,7 @@
 
 fn snapshot(version: u64, prepaid: u64) -> OrganisationSnapshot {
     OrganisationSnapshot {
+        may_draw: true,
         config_version: DocumentVersion(version),
         prepaid: Tokens(prepaid),
         waiting: Tokens(500),
@@ -33,7 +34,7 @@
         if let Some(record) = record {
             grants.apply(writer.key(&organisation), Some(record));
         }
-        writer.sync_wallet(&organisation, grants, wallet);
+        writer.sync_wallet(&organisation, grants, wallet, snapshot);
     };
     write(&mut grants, &mut wallet, &snapshot(1, 1_000));
     wallet
