--- a/crates/toucan_gateway/src/budget/recovering_grants.rs
+++ b/crates/toucan_gateway/src/budget/recovering_grants.rs
@@ -37,11 +37,12 @@
         self.table.apply(key, record);
     }
 
-    /// Replaces the grants by a snapshot of the log.
+    /// Replaces the grants by a snapshot of the log, but for those that are to be written again.
     pub fn load(&mut self, records: impl IntoIterator<Item = (GrantKey, Option<GrantRecord>)>) {
-        *self = Self::default();
-        for (key, record) in records {
-            self.apply(key, record);
+        if self.has_forgotten() {
+            self.load_restored(records);
+        } else {
+            self.replace(records);
         }
     }
 
@@ -52,10 +53,17 @@
         records: impl IntoIterator<Item = (GrantKey, Option<GrantRecord>)>,
     ) {
         let known = std::mem::take(&mut self.table);
-        self.load(records);
+        self.replace(records);
         self.forgotten.extend(self.table.recover(&known));
     }
 
+    fn replace(&mut self, records: impl IntoIterator<Item = (GrantKey, Option<GrantRecord>)>) {
+        *self = Self::default();
+        for (key, record) in records {
+            self.apply(key, record);
+        }
+    }
+
     /// Returns the records that are to be written again.
     pub fn forgotten(&self) -> impl Iterator<Item = (GrantKey, Option<GrantRecord>)> {
         self.forgotten.iter().map(|key| {
