--- /dev/null
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -0,0 +1,102 @@
+//! Chooses the target of a call, or the refusal if there is none.
+
+use std::rc::Rc;
+
+use crate::{
+    Gateway, Platform, Refusal,
+    config::TargetEntry,
+    placement::{
+        ChoiceRequest, ChoiceSettings, TargetTable, choose_target, overload_retry_after_ms,
+    },
+    retries::{CallProgress, connection_share},
+};
+
+use super::{call::Call, read_call::hash_id};
+
+/// Maximum number of connections to a target, from all VMs, if the configuration sets none.
+const DEFAULT_MAX_CONNECTIONS: u32 = 256;
+
+/// Chooses the target that a call is sent to next; [`None`] if no target may get it.
+pub(crate) fn choose_for_call<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    call: &Call,
+    now_ms: u64,
+) -> Option<ChosenTarget> {
+    let state = gateway.state.borrow();
+    let max_connections = max_connections(call, state.members.process_count(now_ms));
+    let request = ChoiceRequest {
+        engine: call.service_settings().and_then(|service| service.engine),
+        parts: &call.head.prompt_parts,
+        data_centre: &gateway.settings.data_centre,
+        software_version: call.origin.as_ref().map(|origin| &origin.software_version),
+        tried: &call.tried,
+        max_in_flight: max_connections,
+        tie_break_seed: hash_id(&call.id),
+    };
+    let settings = ChoiceSettings::default();
+    let chosen = choose_target(&request, &call.service, &state.targets, &settings, now_ms)?;
+    Some(ChosenTarget {
+        entry: Rc::clone(&chosen.target.entry),
+        max_connections,
+        expected_ms: chosen.first_event_ms as u64,
+        return_ms: request.engine.and_then(|_engine| {
+            overload_retry_after_ms(chosen.backlog_ms, call.route.latency_objective_ms)
+        }),
+    })
+}
+
+/// A target chosen for a call.
+pub(crate) struct ChosenTarget {
+    /// Registration of the target.
+    pub(crate) entry: Rc<TargetEntry>,
+    /// Maximum number of open connections from this VM to the target.
+    pub(crate) max_connections: u32,
+    /// Expected time to the first event.
+    pub(crate) expected_ms: u64,
+    /// Time after which the caller may retry, if the target's backlog is too long.
+    pub(crate) return_ms: Option<u64>,
+}
+
+/// Returns the maximum number of connections from one of `processes` gateways to one target of the
+/// call's service.
+fn max_connections(call: &Call, processes: u32) -> u32 {
+    let limit = call
+        .service_settings()
+        .and_then(|service| service.max_connections)
+        .unwrap_or(DEFAULT_MAX_CONNECTIONS);
+    connection_share(limit, processes)
+}
+
+/// Returns the refusal of a call that no target may get.
+pub(crate) fn refusal_without_target<P: Platform>(gateway: &Gateway<P>, call: &Call) -> Refusal {
+    if call.progress.may_have_run {
+        return Refusal::TargetFailed;
+    }
+    let now_ms = gateway.now_ms();
+    let state = gateway.state.borrow();
+    let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
+    let rest_ms = state
+        .targets
+        .shortest_rest_ms(&call.service, software_version, now_ms);
+    if let Some(return_ms) = rest_ms {
+        return Refusal::TargetsResting { return_ms };
+    }
+    match call.progress {
+        CallProgress { sends: 0, .. } if is_version_gone(&state.targets, call, now_ms) => {
+            Refusal::NoTargetOfVersion
+        }
+        CallProgress { sends: 0, .. } => Refusal::NoTarget,
+        CallProgress { .. } => Refusal::TargetFull,
+    }
+}
+
+/// Returns whether the call resumes a stream and no target runs the version that began it.
+fn is_version_gone(targets: &TargetTable, call: &Call, now_ms: u64) -> bool {
+    let Some(origin) = &call.origin else {
+        return false;
+    };
+    let mut targets = targets.of_service(&origin.service);
+    !targets.any(|target| {
+        target.is_in_service(now_ms) && target.has_version(Some(&origin.software_version))
+    })
+}
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -3,6 +3,7 @@
 mod body_framing;
 mod call;
 mod call_log;
+mod choose;
 mod connection_pool;
 mod exchange;
 pub(crate) mod http_listener;
--- a/crates/toucan_gateway/src/serving/resumption.rs
+++ b/crates/toucan_gateway/src/serving/resumption.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::timeout;
-use toucan_types::RequestId;
+use toucan_types::{RequestId, VmName};
 
 use crate::{
     Gateway, Platform, Refusal, config::RouteKind, peers::PeerMessage, streams::StreamOrigin,
@@ -180,7 +180,7 @@
         Self { gateway, attempt }
     }
 
-    fn unanswered(&self) -> Vec<toucan_types::VmName> {
+    fn unanswered(&self) -> Vec<VmName> {
         self.gateway
             .origin_lookups
             .borrow()
--- a/crates/toucan_gateway/src/tasks/membership.rs
+++ b/crates/toucan_gateway/src/tasks/membership.rs
@@ -28,7 +28,7 @@
 /// Registers this gateway, then applies the other gateways' registrations until the process ends.
 pub(crate) async fn watch_members<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut health = StoreHealth::new("members");
-    register_again(&gateway).await;
+    register(&gateway).await;
     let mut consumer = PartitionConsumer::new(Topic::Members, 0);
     loop {
         match consumer.read(&gateway.platform, LONG_POLL_TIMEOUT).await {
@@ -37,7 +37,7 @@
                 match consumed.kind {
                     // The store may have forgotten registrations, also this gateway's. Each gateway
                     // registers again.
-                    BatchKind::RestoredSnapshot => register_again(&gateway).await,
+                    BatchKind::RestoredSnapshot => register(&gateway).await,
                     BatchKind::Snapshot => {
                         remove_missing(&gateway, &consumed.batch.records);
                         apply_records(&gateway, &consumed.batch.records);
@@ -55,14 +55,14 @@
 }
 
 /// Registers this gateway, however often the store has to be called.
-async fn register_again<P: Platform>(gateway: &Rc<Gateway<P>>) {
+async fn register<P: Platform>(gateway: &Rc<Gateway<P>>) {
     let mut health = StoreHealth::new("registration");
-    while let Err(error) = register(gateway).await {
+    while let Err(error) = try_register(gateway).await {
         sleep(health.record_failure(&error, gateway.now_ms())).await;
     }
 }
 
-async fn register<P: Platform>(gateway: &Rc<Gateway<P>>) -> Result<(), AppendError> {
+async fn try_register<P: Platform>(gateway: &Rc<Gateway<P>>) -> Result<(), AppendError> {
     let entry = gateway.member_entry();
     let value = bincode::serde::encode_to_vec(&entry, bincode::config::standard())
         .map_err(|error| AppendError::Invalid(error.to_string()))?;
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod config_watch;
 pub(crate) mod grant_sync;
+mod loan_exchange;
 pub(crate) mod membership;
 mod partition_consumer;
 pub(crate) mod peer_exchange;
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -2,33 +2,27 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::{net::UdpSocket, task::spawn_local, time::timeout};
-use toucan_types::{OrganisationName, RequestId, Tokens, VmName};
+use tokio::net::UdpSocket;
+use toucan_types::{RequestId, VmName};
 
 use crate::{
     Gateway, Platform,
-    peers::{
-        Datagram, DatagramError, GatewayLocation, LoanId, PeerMessage, TargetCalls, TransferId,
-        Transfers, loan_size,
-    },
-    serving::{TokenWait, WaitKind},
+    peers::{Datagram, DatagramError, GatewayLocation, PeerMessage, TargetCalls, Transfers},
     state::GatewayState,
     streams::StreamOrigin,
 };
 
+use super::loan_exchange::{accept_loan, accept_transfer, answer_loan_request};
+
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Minimum interval between two load messages.
 const MIN_LOAD_INTERVAL_MS: u64 = 250;
 /// Time by which the interval grows per gateway, to bound the number of datagrams per second.
 const LOAD_INTERVAL_PER_GATEWAY_MS: u64 = 10;
-
 /// Time without calls of an organisation after which a gateway that is no holder gives its tokens
 /// back.
 const IDLE_BEFORE_TRANSFER_MS: u64 = 1_000;
-/// Maximum time for which a holder draws tokens from the store before it answers a loan request
-/// that it cannot cover.
-const MAX_LOAN_DRAW_MS: u64 = 50;
 
 /// Receives and handles datagrams until the process ends.
 pub(crate) async fn receive_datagrams<P: Platform>(gateway: Rc<Gateway<P>>, socket: Rc<UdpSocket>) {
@@ -259,195 +253,3 @@
         }
     }
 }
-
-fn answer_loan_request<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    borrower: (VmName, u64, LoanId),
-    organisation: OrganisationName,
-    requested: Tokens,
-    now_ms: u64,
-) {
-    if gateway.lending.borrow().previous_loan(&borrower).is_none() {
-        let is_first = gateway.lending.borrow_mut().begin_answer(&borrower);
-        if !is_first {
-            // The earlier copy of the request is answered when its tokens have been drawn.
-            return;
-        }
-        let mut state = gateway.state.borrow_mut();
-        let wallet = state.wallet(&organisation);
-        let is_covered = wallet.available() >= requested;
-        drop(state);
-        if !is_covered && gateway.is_holder(&organisation) && gateway.can_draw(&organisation) {
-            spawn_local(lend_after_draw(
-                Rc::clone(gateway),
-                borrower,
-                organisation,
-                requested,
-                now_ms + MAX_LOAN_DRAW_MS,
-            ));
-            return;
-        }
-    }
-    lend(gateway, borrower, organisation, requested, now_ms);
-}
-
-/// Draws the tokens that a loan needs, then lends what there is.
-async fn lend_after_draw<P: Platform>(
-    gateway: Rc<Gateway<P>>,
-    borrower: (VmName, u64, LoanId),
-    organisation: OrganisationName,
-    requested: Tokens,
-    deadline_ms: u64,
-) {
-    let wait = TokenWait::begin(&gateway, &organisation, requested, WaitKind::Remote);
-    gateway.sync_requested.notify_one();
-    loop {
-        let now_ms = gateway.now_ms();
-        let available = gateway.state.borrow_mut().wallet(&organisation).available();
-        if available >= requested || now_ms >= deadline_ms || !gateway.can_draw(&organisation) {
-            break;
-        }
-        let left = Duration::from_millis(deadline_ms - now_ms);
-        // The loop looks again whether the wait ended by a notification or by the timeout.
-        let _elapsed = timeout(left, gateway.tokens_changed.notified()).await;
-    }
-    drop(wait);
-    let now_ms = gateway.now_ms();
-    lend(&gateway, borrower, organisation, requested, now_ms);
-}
-
-/// Lends tokens, or repeats the answer that an earlier copy of the request got.
-fn lend<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    borrower: (VmName, u64, LoanId),
-    organisation: OrganisationName,
-    requested: Tokens,
-    now_ms: u64,
-) {
-    let previous_loan = gateway.lending.borrow().previous_loan(&borrower);
-    let tokens = match previous_loan {
-        Some(tokens) => tokens,
-        None => {
-            let loan = lend_from_wallet(gateway, &borrower.0, &organisation, requested, now_ms);
-            gateway
-                .lending
-                .borrow_mut()
-                .record_loan(borrower.clone(), loan);
-            loan
-        }
-    };
-    let (vm, _start_id, id) = borrower;
-    let message = PeerMessage::Loan {
-        id,
-        organisation,
-        tokens,
-    };
-    gateway.send_to_peers(std::iter::once(&vm), message);
-}
-
-/// Takes a loan out of the wallet and returns its size.
-fn lend_from_wallet<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    borrower: &VmName,
-    organisation: &OrganisationName,
-    requested: Tokens,
-    now_ms: u64,
-) -> Tokens {
-    let state = &mut *gateway.state.borrow_mut();
-    let is_neighbour = state
-        .members
-        .is_in_data_centre(borrower, &gateway.location.data_centre);
-    let wallet = state.wallet(organisation);
-    let available = wallet.available();
-    let size = if is_neighbour && available >= requested {
-        // A holder keeps no tokens for itself that its data centre needs.
-        requested
-    } else {
-        loan_size(requested, available, wallet.rate_per_s(now_ms))
-    };
-    let loan = wallet.lend(size);
-    if loan.is_zero() {
-        metrics::counter!("toucan_loans_refused_total").increment(1);
-        return loan;
-    }
-    if is_neighbour {
-        // The holder draws for the calls of its data centre. Other holders record their own demand.
-        wallet.record_demand(loan, now_ms);
-    }
-    log::info!(
-        target: "budget",
-        organisation = organisation.as_str(),
-        vm = borrower.as_str(),
-        asked_tokens = requested.0,
-        lent_tokens = loan.0,
-        available_tokens = wallet.available().0;
-        "loan to another gateway"
-    );
-    loan
-}
-
-fn accept_transfer<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    (sender, sender_start_id): (&VmName, u64),
-    id: TransferId,
-    organisation: &OrganisationName,
-    tokens: Tokens,
-) {
-    let is_new = gateway
-        .transfers
-        .borrow_mut()
-        .accept(sender, sender_start_id, id);
-    if is_new {
-        gateway
-            .state
-            .borrow_mut()
-            .wallet(organisation)
-            .borrow_from_peer(tokens);
-        log::info!(
-            target: "budget",
-            organisation = organisation.as_str(),
-            vm = sender.as_str(),
-            tokens = tokens.0;
-            "idle tokens from another gateway"
-        );
-        gateway.tokens_changed.notify_waiters();
-    }
-    gateway.send_to_peers(
-        std::iter::once(sender),
-        PeerMessage::TransferReceived { id },
-    );
-}
-
-fn accept_loan<P: Platform>(
-    gateway: &Rc<Gateway<P>>,
-    (lender, lender_start_id): (&VmName, u64),
-    id: LoanId,
-    organisation: &OrganisationName,
-    tokens: Tokens,
-) {
-    let is_accepted =
-        gateway
-            .lending
-            .borrow_mut()
-            .accept(id, organisation, lender, lender_start_id);
-    if !is_accepted {
-        log::debug!(target: "budget", vm = lender.as_str(), id = id.0; "a duplicate or late loan was ignored");
-        return;
-    }
-    gateway
-        .state
-        .borrow_mut()
-        .wallet(organisation)
-        .borrow_from_peer(tokens);
-    if !tokens.is_zero() {
-        log::info!(
-            target: "budget",
-            organisation = organisation.as_str(),
-            vm = lender.as_str(),
-            borrowed_tokens = tokens.0;
-            "loan from another gateway"
-        );
-    }
-    // A waiting call asks the next lender if this one had no tokens.
-    gateway.tokens_changed.notify_waiters();
-}
--- a/crates/toucan_gateway/tests/holders.rs
+++ b/crates/toucan_gateway/tests/holders.rs
@@ -3,38 +3,17 @@
 //! Guards against a large fleet in which every gateway draws from every budget: each holding is
 //! then smaller than a call, and calls are refused although the budget covers them.
 
-use std::{collections::BTreeSet, net::SocketAddrV4};
+mod support;
 
+use std::collections::BTreeSet;
+
+use support::{location, members_seen_by};
 use test_case::test_case;
-use toucan_gateway::peers::{GatewayLocation, MemberEntry, Members};
-use toucan_types::{DataCentreName, OrganisationName, VmName};
+use toucan_types::{OrganisationName, VmName};
 
 /// Time after which a silent gateway no longer counts as live, with a margin.
 const SILENT_MS: u64 = 20_000;
 
-fn location(at: usize, data_centres: usize) -> GatewayLocation {
-    GatewayLocation {
-        vm: VmName::from(format!("vm-{at}")),
-        data_centre: DataCentreName::from(format!("dc-{}", at % data_centres)),
-    }
-}
-
-/// Returns the members that gateway `local` sees in a fleet spread over data centres.
-fn members_seen_by(local: usize, gateways: usize, data_centres: usize) -> Members {
-    let mut members = Members::default();
-    for at in (0..gateways).filter(|at| *at != local) {
-        let other = location(at, data_centres);
-        let entry = MemberEntry {
-            start: 1,
-            address: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
-            key: [0; 32],
-            data_centre: other.data_centre,
-        };
-        members.register(other.vm, entry, 0);
-    }
-    members
-}
-
 fn organisation(at: usize) -> OrganisationName {
     OrganisationName::from(format!("organisation-{at}"))
 }
--- a/crates/toucan_gateway/tests/stream_origins.rs
+++ b/crates/toucan_gateway/tests/stream_origins.rs
@@ -1,13 +1,15 @@
 //! Guards against streams that go on at another software version because a gateway assumes where they
 //! began, and against streams that cannot go on although a live gateway knows where they began.
 
+mod support;
+
 use std::net::SocketAddrV4;
 
 use proptest::prelude::*;
+use support::{location, members_seen_by};
 use test_case::test_case;
 use toucan_gateway::{
     config::TargetEntry,
-    peers::{GatewayLocation, MemberEntry, Members},
     streams::{MAX_STREAM_AGE_MS, OriginLookups, OriginTable, StreamOrigin, VersionHistory},
 };
 use toucan_types::{DataCentreName, RequestId, ServiceName, SoftwareVersion, TargetName, VmName};
@@ -15,29 +17,6 @@
 /// Interval between two reads of the registrations.
 const READ_INTERVAL_MS: u64 = 400;
 
-fn location(at: usize, data_centres: usize) -> GatewayLocation {
-    GatewayLocation {
-        vm: VmName::from(format!("vm-{at}")),
-        data_centre: DataCentreName::from(format!("dc-{}", at % data_centres)),
-    }
-}
-
-/// Returns the members that gateway `local` sees.
-fn members_seen_by(local: usize, gateways: usize, data_centres: usize) -> Members {
-    let mut members = Members::default();
-    for at in (0..gateways).filter(|at| *at != local) {
-        let other = location(at, data_centres);
-        let entry = MemberEntry {
-            start: 1,
-            address: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
-            key: [0; 32],
-            data_centre: other.data_centre,
-        };
-        members.register(other.vm, entry, 0);
-    }
-    members
-}
-
 proptest! {
     #[test]
     fn every_gateway_asks_all_that_were_told(
