Name throttling, lost grants and replicas of origins by the field's terms

A newcomer met 'rest' for what a target's Retry-After asks, 'forgotten' for records that a restore lost, and 'keepers' for the gateways that hold a copy of a stream's origin.

--- a/crates/toucan_gateway/src/budget/grant_writer.rs
+++ b/crates/toucan_gateway/src/budget/grant_writer.rs
@@ -60,7 +60,7 @@
     ///
     /// To be called after the partition was read to its end. After a restore, a draw from before may
     /// have been appended late, at an offset that was given out again and without regard to grants
-    /// that the store had forgotten. Its tokens are not held until all grants are known, and are
+    /// that the store had lost. Its tokens are not held until all grants are known, and are
     /// returned if they exceed the budget.
     pub fn sync_wallet(
         &self,
--- a/crates/toucan_gateway/src/budget/mod.rs
+++ b/crates/toucan_gateway/src/budget/mod.rs
@@ -4,7 +4,7 @@
 //! it. The sum of all grants never exceeds what an organisation has paid for, because a grant is
 //! appended only if its writer has seen all grants before it. Grants never expire: tokens that a
 //! process held when it crashed count as spent. A log that comes back from an older copy may have
-//! forgotten grants; they are written again before tokens are drawn.
+//! lost grants; they are written again before tokens are drawn.
 
 mod draw_sizing;
 mod grant_record;
--- a/crates/toucan_gateway/src/budget/recovering_grants.rs
+++ b/crates/toucan_gateway/src/budget/recovering_grants.rs
@@ -4,14 +4,14 @@
 
 use super::{GrantKey, GrantRecord, GrantTable};
 
-/// The grants in one partition, with those that a restored log has forgotten.
+/// The grants in one partition, with those that a restored log has lost.
 ///
 /// A restored log lacks its newest records. What this process had read of them stays in the table, and
 /// is to be written again.
 #[derive(Clone, Debug, Default)]
 pub struct RecoveringGrants {
     table: GrantTable,
-    forgotten: BTreeSet<GrantKey>,
+    lost: BTreeSet<GrantKey>,
 }
 
 impl RecoveringGrants {
@@ -27,19 +27,19 @@
             // A late append can succeed after a restore, if its expected offset is given out again.
             Some(record) => self.table.has_newer(&key, record),
             // The process that deleted the record had read an older one.
-            None => self.forgotten.contains(&key),
+            None => self.lost.contains(&key),
         };
         if is_outdated {
-            self.forgotten.insert(key);
+            self.lost.insert(key);
             return;
         }
-        self.forgotten.remove(&key);
+        self.lost.remove(&key);
         self.table.apply(key, record);
     }
 
     /// Replaces the grants by a snapshot of the log, but for those that are to be written again.
     pub fn load(&mut self, records: impl IntoIterator<Item = (GrantKey, Option<GrantRecord>)>) {
-        if self.has_forgotten() {
+        if self.has_lost_records() {
             self.load_restored(records);
         } else {
             self.replace(records);
@@ -54,7 +54,7 @@
     ) {
         let known = std::mem::take(&mut self.table);
         self.replace(records);
-        self.forgotten.extend(self.table.recover(&known));
+        self.lost.extend(self.table.recover(&known));
     }
 
     fn replace(&mut self, records: impl IntoIterator<Item = (GrantKey, Option<GrantRecord>)>) {
@@ -65,8 +65,8 @@
     }
 
     /// Returns the records that are to be written again.
-    pub fn forgotten(&self) -> impl Iterator<Item = (GrantKey, Option<GrantRecord>)> {
-        self.forgotten.iter().map(|key| {
+    pub fn lost_records(&self) -> impl Iterator<Item = (GrantKey, Option<GrantRecord>)> {
+        self.lost.iter().map(|key| {
             let record = self.table.record(&key.organisation, &key.owner);
             (key.clone(), record)
         })
@@ -74,12 +74,12 @@
 
     /// Returns whether records are to be written again.
     #[must_use]
-    pub fn has_forgotten(&self) -> bool {
-        !self.forgotten.is_empty()
+    pub fn has_lost_records(&self) -> bool {
+        !self.lost.is_empty()
     }
 
-    /// Records that all forgotten records were written again.
+    /// Records that all lost records were written again.
     pub fn record_rewritten(&mut self) {
-        self.forgotten.clear();
+        self.lost.clear();
     }
 }
--- a/crates/toucan_gateway/src/budget/restore_gate.rs
+++ b/crates/toucan_gateway/src/budget/restore_gate.rs
@@ -1,7 +1,7 @@
 //! Holds back draws after the store came back from an older copy.
 
 /// Longest time for which draws are held back. Gateways that are cut off from the store hold tokens
-/// which it may have forgotten; an outage of this length is bridged by the tokens in hand.
+/// which it may have lost; an outage of this length is bridged by the tokens in hand.
 const MAX_WAIT_MS: u64 = 10_000;
 /// Time for which a process that has just started holds back draws, if no other gateway tells that
 /// all have written their records again. It may not know the other gateways yet.
--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -32,8 +32,8 @@
     StreamOriginUnknown,
     /// no target runs the software version that began the stream
     NoTargetOfVersion,
-    /// all targets that could take the call want none for some time
-    TargetsResting {
+    /// all targets that could take the call throttle this VM
+    TargetsThrottling {
         /// Time until the first of them takes calls again, in milliseconds.
         return_ms: u64,
     },
@@ -72,7 +72,7 @@
             | Self::NoTarget
             | Self::StreamOriginUnknown
             | Self::NoTargetOfVersion
-            | Self::TargetsResting { .. }
+            | Self::TargetsThrottling { .. }
             | Self::TargetFull
             | Self::Overloaded { .. }
             | Self::TooLate
@@ -95,7 +95,7 @@
             // The load balancer stops using this VM at once, so another VM gets the next attempt.
             Self::Stopping => 50,
             Self::TargetFull | Self::NoTarget => 250,
-            Self::Overloaded { return_ms } | Self::TargetsResting { return_ms } => return_ms,
+            Self::Overloaded { return_ms } | Self::TargetsThrottling { return_ms } => return_ms,
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable => 1_000,
@@ -110,7 +110,7 @@
     /// Returns whether a retry before [`Self::retry_after`] has passed is certain to fail.
     #[must_use]
     pub const fn is_retry_after_exact(self) -> bool {
-        matches!(self, Self::TargetsResting { .. })
+        matches!(self, Self::TargetsThrottling { .. })
     }
 
     /// Returns the name used in logs and metrics.
@@ -129,7 +129,7 @@
             Self::NoTarget => "no_target",
             Self::StreamOriginUnknown => "stream_origin_unknown",
             Self::NoTargetOfVersion => "no_target_of_version",
-            Self::TargetsResting { .. } => "targets_resting",
+            Self::TargetsThrottling { .. } => "targets_throttling",
             Self::Overloaded { .. } => "overloaded",
             Self::TargetFull => "target_full",
             Self::TooLate => "too_late",
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -248,25 +248,26 @@
     }
 
     /// Records that a target wants no calls from this VM for some time.
-    pub(crate) fn record_resting_target(
+    pub(crate) fn record_throttling_target(
         &self,
         target: &TargetName,
         started_at_unix_ms: u64,
-        rest: Duration,
+        throttle: Duration,
     ) {
         let now_ms = self.now_ms();
         let targets = &mut self.state.borrow_mut().targets;
-        let until_ms = targets.record_rest(target, started_at_unix_ms, rest, self.start_id, now_ms);
+        let until_ms =
+            targets.record_throttle(target, started_at_unix_ms, throttle, self.start_id, now_ms);
         let Some(until_ms) = until_ms else {
             return;
         };
-        metrics::counter!("toucan_resting_targets_total").increment(1);
+        metrics::counter!("toucan_throttling_targets_total").increment(1);
         log::info!(
             target: "target",
             name = target.as_str(),
-            asked_ms = rest.as_millis() as u64,
-            rests_ms = until_ms.saturating_sub(now_ms);
-            "the target asks for rest"
+            asked_ms = throttle.as_millis() as u64,
+            throttled_ms = until_ms.saturating_sub(now_ms);
+            "the target throttles this VM"
         );
     }
 
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -46,7 +46,7 @@
                 "software_version": target.entry.software_version.as_str(),
                 "draining": target.entry.draining,
                 "is_leaving": target.is_leaving,
-                "rests_ms": target.resting_until_ms.saturating_sub(now_ms),
+                "throttled_ms": target.throttled_until_ms.saturating_sub(now_ms),
                 "in_flight": target.in_flight,
                 "load": target.load(now_ms),
                 "failed_part": target.failures.failure_rate(),
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -10,7 +10,7 @@
 
 /// Time after its last datagram or its registration for which a gateway counts as live.
 const LIVENESS_TIMEOUT_MS: u64 = 5_000;
-/// Time since its last datagram for which a gateway may hold tokens that a restored store forgot.
+/// Time since its last datagram for which a gateway may hold tokens that a restored store lost.
 const RECOVERING_MS: u64 = 20_000;
 /// Time since its last datagram after which a gateway no longer counts at all. VMs that were
 /// replaced stay registered and would otherwise keep a share of the fleet's limits forever.
--- a/crates/toucan_gateway/src/peers/mod.rs
+++ b/crates/toucan_gateway/src/peers/mod.rs
@@ -9,7 +9,7 @@
 mod holders;
 mod lending;
 mod member;
-mod origin_keepers;
+mod origin_replicas;
 mod transfers;
 
 pub use datagram::{Datagram, DatagramError, LoanId, PeerMessage, TargetCalls};
--- a/crates/toucan_gateway/src/peers/origin_keepers.rs
+++ b/crates/toucan_gateway/src/peers/origin_replicas.rs
@@ -12,17 +12,17 @@
 
 /// Number of other gateways that are told the origin of a stream. More than half of all gateways may
 /// die at once.
-const KEEPERS: usize = 3;
+const REPLICAS: usize = 3;
 /// Number of them in other data centres, if there are any. They survive the loss of the data centre.
-const REMOTE_KEEPERS: usize = 1;
+const REMOTE_REPLICAS: usize = 1;
 /// Number of gateways of each data centre that are asked. The gateway that served the stream may
-/// rank before all of its keepers.
-const ASKED_PER_DATA_CENTRE: usize = KEEPERS + 1;
+/// rank before all of its replicas.
+const ASKED_PER_DATA_CENTRE: usize = REPLICAS + 1;
 
 impl Members {
     /// Returns the other gateways that the gateway at `local` tells where a stream began.
     #[must_use]
-    pub fn origin_keepers(
+    pub fn origin_replicas(
         &self,
         attempt: &RequestId,
         local: &GatewayLocation,
@@ -33,17 +33,17 @@
             .remove(&local.data_centre)
             .unwrap_or_default();
         let elsewhere: Vec<&VmName> = by_data_centre.into_values().flatten().collect();
-        let remote = (KEEPERS.saturating_sub(neighbours.len()))
-            .max(REMOTE_KEEPERS)
+        let remote = (REPLICAS.saturating_sub(neighbours.len()))
+            .max(REMOTE_REPLICAS)
             .min(elsewhere.len());
-        let mut keepers = rendezvous_ranking(attempt, neighbours, KEEPERS - remote);
-        keepers.extend(rendezvous_ranking(attempt, elsewhere, remote));
-        keepers.into_iter().cloned().collect()
+        let mut replicas = rendezvous_ranking(attempt, neighbours, REPLICAS - remote);
+        replicas.extend(rendezvous_ranking(attempt, elsewhere, remote));
+        replicas.into_iter().cloned().collect()
     }
 
     /// Returns the other gateways that may know where a stream began which any gateway served.
     #[must_use]
-    pub fn possible_origin_keepers(&self, attempt: &RequestId, now_ms: u64) -> Vec<VmName> {
+    pub fn possible_origin_replicas(&self, attempt: &RequestId, now_ms: u64) -> Vec<VmName> {
         let ranked = self
             .live_by_data_centre(now_ms)
             .into_values()
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -24,7 +24,7 @@
     /// Whether the target has stated that it is leaving.
     pub is_leaving: bool,
     /// Time until which the target wants no calls from this VM.
-    pub resting_until_ms: u64,
+    pub throttled_until_ms: u64,
     /// End of the grace period after deregistration; [`None`] while the target is registered.
     pub usable_until_ms: Option<u64>,
     /// Loads that other VMs reported, by the random identifier of the process's start.
@@ -55,7 +55,7 @@
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
             is_leaving: false,
-            resting_until_ms: 0,
+            throttled_until_ms: 0,
             usable_until_ms: None,
             peer_loads: FastHashMap::default(),
         }
@@ -83,7 +83,7 @@
     /// Returns whether new calls may be sent to the target now.
     #[must_use]
     pub fn accepts_calls(&self, now_ms: u64) -> bool {
-        self.is_in_service(now_ms) && now_ms >= self.resting_until_ms
+        self.is_in_service(now_ms) && now_ms >= self.throttled_until_ms
     }
 
     /// Sets another VM's load: its calls in flight here, and their unprocessed prompt tokens.
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -8,11 +8,11 @@
 
 use super::{CallOutcome, Reachability, TargetState};
 
-/// Longest rest that a target can ask for. A wrong value must not take a target out for good.
-const MAX_REST: Duration = Duration::from_mins(10);
-/// Part of a rest by which its end is spread at most.
-const REST_PER_SPREAD: u64 = 4;
-/// Longest time by which the end of a rest is spread.
+/// Longest time for which a target can throttle a VM. A wrong value must not take a target out for good.
+const MAX_THROTTLE: Duration = Duration::from_mins(10);
+/// Part of that time by which its end is spread at most.
+const THROTTLE_PER_SPREAD: u64 = 4;
+/// Longest time by which the end of throttling is spread.
 const MAX_SPREAD_MS: u64 = 1_000;
 
 /// What a registration changed.
@@ -108,13 +108,13 @@
     /// Records that a target, in the start that began at `started_at_unix_ms`, wants no calls from
     /// this VM for some time.
     ///
-    /// `seed` is random for this process. It spreads the ends of the rests that several VMs were
-    /// asked for at the same time. Returns the time until which the target gets no calls.
-    pub fn record_rest(
+    /// `seed` is random for this process. It spreads the ends where several VMs are throttled at the
+    /// same time. Returns the time until which the target gets no calls.
+    pub fn record_throttle(
         &mut self,
         name: &TargetName,
         started_at_unix_ms: u64,
-        rest: Duration,
+        throttle: Duration,
         seed: u64,
         now_ms: u64,
     ) -> Option<u64> {
@@ -122,29 +122,30 @@
         if target.entry.started_at_unix_ms != started_at_unix_ms {
             return None;
         }
-        let rest_ms = rest.min(MAX_REST).as_millis() as u64;
-        let spread_ms = seed % (rest_ms / REST_PER_SPREAD).clamp(1, MAX_SPREAD_MS);
-        let until_ms = now_ms + rest_ms + spread_ms;
-        target.resting_until_ms = target.resting_until_ms.max(until_ms);
-        Some(target.resting_until_ms)
+        let throttle_ms = throttle.min(MAX_THROTTLE).as_millis() as u64;
+        let spread_ms = seed % (throttle_ms / THROTTLE_PER_SPREAD).clamp(1, MAX_SPREAD_MS);
+        let until_ms = now_ms + throttle_ms + spread_ms;
+        target.throttled_until_ms = target.throttled_until_ms.max(until_ms);
+        Some(target.throttled_until_ms)
     }
 
     /// Returns the time until the first of a service's targets that run `software_version`, or any
-    /// version if it is [`None`], ends its rest; [`None`] if one does not rest or none is in service.
+    /// version if it is [`None`], takes calls again; [`None`] if one does not throttle or none is in
+    /// service.
     #[must_use]
-    pub fn shortest_rest_ms(
+    pub fn shortest_throttle_ms(
         &self,
         service: &ServiceName,
         software_version: Option<&SoftwareVersion>,
         now_ms: u64,
     ) -> Option<u64> {
-        let rest_ms = self
+        let throttle_ms = self
             .of_service(service)
             .filter(|target| target.is_in_service(now_ms))
             .filter(|target| target.has_version(software_version))
-            .map(|target| target.resting_until_ms.saturating_sub(now_ms))
+            .map(|target| target.throttled_until_ms.saturating_sub(now_ms))
             .min()?;
-        (rest_ms > 0).then_some(rest_ms)
+        (throttle_ms > 0).then_some(throttle_ms)
     }
 
     /// Returns whether a target or its data centre is in backoff.
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -75,11 +75,11 @@
     let now_ms = gateway.now_ms();
     let state = gateway.state.borrow();
     let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
-    let rest_ms = state
+    let throttle_ms = state
         .targets
-        .shortest_rest_ms(&call.service, software_version, now_ms);
-    if let Some(return_ms) = rest_ms {
-        return Refusal::TargetsResting { return_ms };
+        .shortest_throttle_ms(&call.service, software_version, now_ms);
+    if let Some(return_ms) = throttle_ms {
+        return Refusal::TargetsThrottling { return_ms };
     }
     match call.progress {
         CallProgress { sends: 0, .. } if is_version_gone(&state.targets, call, now_ms) => {
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -44,7 +44,7 @@
     /// Whether it is leaving.
     pub(crate) is_leaving: bool,
     /// Time for which it wants no calls from this VM.
-    pub(crate) rest: Option<Duration>,
+    pub(crate) throttle: Option<Duration>,
 }
 
 /// A response whose headers were received but whose body was not read to its end.
@@ -98,7 +98,7 @@
     let head = format.read_response(parts.status, &parts.headers);
     *exchange.notice = TargetNotice {
         is_leaving: head.is_leaving,
-        rest: head.rest,
+        throttle: head.throttle,
     };
     if head.id.as_ref().is_some_and(|id| id != exchange.id) {
         // A late response to an earlier call. Returning here drops the connection and with it
--- a/crates/toucan_gateway/src/serving/resumption.rs
+++ b/crates/toucan_gateway/src/serving/resumption.rs
@@ -47,19 +47,19 @@
         return;
     }
     let now_ms = gateway.now_ms();
-    let keepers = {
+    let replicas = {
         let mut state = gateway.state.borrow_mut();
         if !state.stream_origins.record(&call.id, origin, now_ms) {
             return;
         }
         let members = &state.members;
-        members.origin_keepers(&call.id, &gateway.location, now_ms)
+        members.origin_replicas(&call.id, &gateway.location, now_ms)
     };
     let message = PeerMessage::StreamOrigin {
         attempt: call.id.clone(),
         origin: Some(origin.clone()),
     };
-    gateway.send_to_peers(keepers.iter(), message);
+    gateway.send_to_peers(replicas.iter(), message);
 }
 
 /// Fixes the service and software version of a call that resumes a stream.
@@ -175,7 +175,7 @@
     fn begin(gateway: &'a Gateway<P>, attempt: &'a RequestId) -> Self {
         let now_ms = gateway.now_ms();
         let state = gateway.state.borrow();
-        let asked = state.members.possible_origin_keepers(attempt, now_ms);
+        let asked = state.members.possible_origin_replicas(attempt, now_ms);
         gateway.origin_lookups.borrow_mut().begin(attempt, asked);
         Self { gateway, attempt }
     }
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -226,8 +226,8 @@
     if notice.is_leaving {
         gateway.record_leaving_target(&target.name, target.started_at_unix_ms);
     }
-    if let Some(rest) = notice.rest {
-        gateway.record_resting_target(&target.name, target.started_at_unix_ms, rest);
+    if let Some(throttle) = notice.throttle {
+        gateway.record_throttling_target(&target.name, target.started_at_unix_ms, throttle);
     }
 }
 
--- a/crates/toucan_gateway/src/tasks/grant_sync.rs
+++ b/crates/toucan_gateway/src/tasks/grant_sync.rs
@@ -186,7 +186,7 @@
     /// need.
     fn must_update<P: Platform>(&self, gateway: &Gateway<P>) -> bool {
         !self.is_loaded
-            || self.grants.has_forgotten()
+            || self.grants.has_lost_records()
             || self.consumer.is_before_restore(&gateway.platform)
     }
 
@@ -291,8 +291,8 @@
                     log::warn!(
                         target: "budget",
                         partition = self.consumer.partition().number,
-                        records = self.grants.forgotten().count();
-                        "grants that the restored store forgot are written again"
+                        records = self.grants.lost_records().count();
+                        "grants that the restored store lost are written again"
                     );
                 }
             }
@@ -310,7 +310,7 @@
         let now_ms = gateway.now_ms();
         let state = &mut *gateway.state.borrow_mut();
         let mut records = Vec::new();
-        for (key, record) in self.grants.forgotten() {
+        for (key, record) in self.grants.lost_records() {
             records.push(encode(&key, record)?);
         }
         for organisation in organisations {
--- a/crates/toucan_gateway/src/tasks/membership.rs
+++ b/crates/toucan_gateway/src/tasks/membership.rs
@@ -35,7 +35,7 @@
             Ok(consumed) => {
                 health.record_success(gateway.now_ms());
                 match consumed.kind {
-                    // The store may have forgotten registrations, also this gateway's. Each gateway
+                    // The store may have lost registrations, also this gateway's. Each gateway
                     // registers again.
                     BatchKind::RestoredSnapshot => register(&gateway).await,
                     BatchKind::Snapshot => {
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -90,8 +90,8 @@
     pub is_encoded: bool,
     /// Whether the target states that it is leaving and must get no new calls.
     pub is_leaving: bool,
-    /// Time for which the target wants no calls from this VM; [`None`] if it asks for no rest.
-    pub rest: Option<Duration>,
+    /// Time for which the target wants no calls from this VM; [`None`] if it does not throttle it.
+    pub throttle: Option<Duration>,
 }
 
 /// Formats of the deployment that the gateway runs in.
--- a/crates/toucan_gateway/tests/budget_histories.rs
+++ b/crates/toucan_gateway/tests/budget_histories.rs
@@ -113,7 +113,7 @@
 
     /// Returns whether the process has written again what the last restore lost.
     fn has_recovered(&self, partition: &Partition) -> bool {
-        self.restores == Some(partition.restores) && !self.grants.has_forgotten()
+        self.restores == Some(partition.restores) && !self.grants.has_lost_records()
     }
 }
 
@@ -372,7 +372,7 @@
             &settings,
             self.now_ms,
         );
-        let mut records: Records = process.grants.forgotten().collect();
+        let mut records: Records = process.grants.lost_records().collect();
         records.extend(decided.map(|record| (writer.key(&self.organisation), Some(record))));
         records.extend(writer.merge_former_grants(grants));
         if records.is_empty() {
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -150,36 +150,36 @@
 #[test_case(2_000, 0 => 2_000; "no spread")]
 #[test_case(2_000, 499 => 2_499; "a spread")]
 #[test_case(60_000, 12_999 => 60_999; "the spread is bounded")]
-#[test_case(1, 7 => 1; "a short rest")]
-#[test_case(u64::MAX, 0 => 600_000; "an absurd rest")]
-fn rest_of_a_target(asked_ms: u64, seed: u64) -> u64 {
+#[test_case(1, 7 => 1; "a short time")]
+#[test_case(u64::MAX, 0 => 600_000; "an absurd time")]
+fn throttling_of_a_target(asked_ms: u64, seed: u64) -> u64 {
     let mut table = table(1);
     let name = TargetName::from("t0");
-    let rest = Duration::from_millis(asked_ms);
-    let until_ms = table.record_rest(&name, 1, rest, seed, 100);
+    let throttle = Duration::from_millis(asked_ms);
+    let until_ms = table.record_throttle(&name, 1, throttle, seed, 100);
     until_ms.expect("the target is registered") - 100
 }
 
 #[test]
-fn resting_target_gets_no_calls_until_its_rest_ends() {
+fn throttling_target_gets_no_calls_until_its_time_ends() {
     let mut table = table(2);
     let service = service();
-    let rest = Duration::from_millis(1_000);
+    let throttle = Duration::from_millis(1_000);
     assert_eq!(
-        table.record_rest(&TargetName::from("t0"), 2, rest, 0, 0),
+        table.record_throttle(&TargetName::from("t0"), 2, throttle, 0, 0),
         None
     );
-    table.record_rest(&TargetName::from("t0"), 1, rest, 0, 0);
-    let chosen = choose(&table, &prompt(1), &[], 1, 500).expect("t1 does not rest");
+    table.record_throttle(&TargetName::from("t0"), 1, throttle, 0, 0);
+    let chosen = choose(&table, &prompt(1), &[], 1, 500).expect("t1 does not throttle");
     assert_eq!(chosen.entry.name.as_str(), "t1");
     assert_eq!(
-        table.shortest_rest_ms(service, None, 500),
+        table.shortest_throttle_ms(service, None, 500),
         None,
-        "t1 does not rest"
+        "t1 does not throttle"
     );
-    table.record_rest(&TargetName::from("t1"), 1, 2 * rest, 0, 0);
+    table.record_throttle(&TargetName::from("t1"), 1, 2 * throttle, 0, 0);
     assert!(choose(&table, &prompt(1), &[], 1, 999).is_none());
-    assert_eq!(table.shortest_rest_ms(service, None, 400), Some(600));
+    assert_eq!(table.shortest_throttle_ms(service, None, 400), Some(600));
     assert!(choose(&table, &prompt(1), &[], 1, 1_000).is_some());
     table.register(entry("t1", 2));
     assert!(
--- a/crates/toucan_gateway/tests/restore_gate.rs
+++ b/crates/toucan_gateway/tests/restore_gate.rs
@@ -1,4 +1,4 @@
-//! Guards against draws from a restored store while it has forgotten grants, and against a gate that
+//! Guards against draws from a restored store while it lacks grants, and against a gate that
 //! never opens.
 
 use test_case::test_case;
--- a/crates/toucan_gateway/tests/stream_origins.rs
+++ b/crates/toucan_gateway/tests/stream_origins.rs
@@ -28,14 +28,14 @@
     ) {
         let (server, asker) = (server % gateways, asker % gateways);
         let attempt = RequestId::from(attempt.as_str());
-        let told = members_seen_by(server, gateways, data_centres).origin_keepers(
+        let told = members_seen_by(server, gateways, data_centres).origin_replicas(
             &attempt,
             &location(server, data_centres),
             0,
         );
         prop_assert_eq!(told.len(), 3.min(gateways - 1));
         let asked = members_seen_by(asker, gateways, data_centres)
-            .possible_origin_keepers(&attempt, 0);
+            .possible_origin_replicas(&attempt, 0);
         let asker = location(asker, data_centres).vm;
         for gateway in told.iter().filter(|gateway| **gateway != asker) {
             prop_assert!(asked.contains(gateway), "{gateway:?} is not asked: {asked:?}");
@@ -48,7 +48,7 @@
     for at in 0..50 {
         let attempt = RequestId::from(format!("attempt-{at}"));
         let server = location(0, 4);
-        let told = members_seen_by(0, 40, 4).origin_keepers(&attempt, &server, 0);
+        let told = members_seen_by(0, 40, 4).origin_replicas(&attempt, &server, 0);
         let elsewhere = (0..40)
             .map(|at| location(at, 4))
             .filter(|gateway| gateway.data_centre != server.data_centre)
--- a/crates/toucanctl/src/commands/explain_log.rs
+++ b/crates/toucanctl/src/commands/explain_log.rs
@@ -52,8 +52,8 @@
         "no target ran the software version that began the stream",
     ),
     (
-        "targets_resting",
-        "all targets that could take the call had asked for rest; the caller was told when it ends",
+        "targets_throttling",
+        "all targets that could take the call throttled this VM; the caller was told until when",
     ),
     (
         "overloaded",
