Log the end of a target with the calls that may have ended it, and the prompt parts of calls

Now a gateway connects once more to a target whose connection broke under a call with a prompt of several parts. If the target does not accept, one line says that it has ended, how many calls it held here, and the shared parts of those whose answers had not begun or had just begun; if it accepts, a line says so. The lines of a call have its shared parts. Errors of opening a socket here are told apart from those of the peer, so that a lack of ports is not taken for an end.

No decision is changed. Ruled out: taking every broken connection for an end, as targets also break off single answers. Tests: answer_ends 16, gateway 20, stream_versions 8, metrics_page 1 pass.

--- a/crates/toucan_gateway/src/config/target_entry.rs
+++ b/crates/toucan_gateway/src/config/target_entry.rs
@@ -4,6 +4,8 @@
 
 use toucan_types::{DataCentreName, ServiceName, SoftwareVersion, TargetName};
 
+use crate::poison::TargetInstance;
+
 /// The registration of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetEntry {
@@ -24,3 +26,14 @@
     /// Unix time of the target's start; another value under the same id means another start.
     pub started_at_unix_ms: u64,
 }
+
+impl TargetEntry {
+    /// Returns the start of the target that the registration is of.
+    #[must_use]
+    pub fn instance(&self) -> TargetInstance {
+        TargetInstance {
+            name: self.name.clone(),
+            started_at_unix_ms: self.started_at_unix_ms,
+        }
+    }
+}
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -20,14 +20,28 @@
 pub enum ConnectError {
     /// the peer did not accept it in time
     TimedOut,
+    /// this process cannot open a socket: {0}
+    NoSocket(String),
     /// {0}
     Failed(String),
 }
 
+impl ConnectError {
+    /// Returns whether the peer or the network is the cause, and not this process.
+    #[must_use]
+    pub const fn is_of_peer(&self) -> bool {
+        !matches!(self, Self::NoSocket(_))
+    }
+}
+
 impl std::error::Error for ConnectError {}
 
 impl From<std::io::Error> for ConnectError {
     fn from(error: std::io::Error) -> Self {
+        if error.kind() == std::io::ErrorKind::AddrNotAvailable {
+            // All local ports are in use.
+            return Self::NoSocket(error.to_string());
+        }
         Self::Failed(error.to_string())
     }
 }
@@ -47,7 +61,7 @@
     address: SocketAddrV4,
     connect_timeout: Duration,
 ) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
-    let socket = TcpSocket::new_v4()?;
+    let socket = TcpSocket::new_v4().map_err(|error| ConnectError::NoSocket(error.to_string()))?;
     set_liveness_options(&socket)?;
     let Ok(connected) = timeout(connect_timeout, socket.connect(address.into())).await else {
         return Err(ConnectError::TimedOut);
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod keyed_log;
 pub mod peers;
 pub mod placement;
+pub mod poison;
 pub mod retries;
 pub mod streams;
 pub mod wire_format;
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -213,7 +213,7 @@
         [only] => only,
         [.., last_shared, _unshared] => last_shared,
     };
-    Some(shared.id)
+    Some(shared.id.0)
 }
 
 /// Seed of the hash, which must be the same in every process.
--- a/crates/toucan_gateway/src/placement/prompt_cache_estimate.rs
+++ b/crates/toucan_gateway/src/placement/prompt_cache_estimate.rs
@@ -2,7 +2,7 @@
 
 use toucan_types::FastHashMap;
 
-use crate::wire_format::PromptPart;
+use crate::wire_format::{PartId, PromptPart};
 
 /// Maximum number of parts tracked per target.
 const MAX_PARTS: usize = 2_048;
@@ -12,7 +12,7 @@
 /// The prompt parts recently sent to a target, with the time of the last send.
 #[derive(Clone, Debug, Default)]
 pub struct PromptCacheEstimate {
-    sent_at_ms: FastHashMap<u64, u64>,
+    sent_at_ms: FastHashMap<PartId, u64>,
 }
 
 impl PromptCacheEstimate {
@@ -45,7 +45,7 @@
         total.saturating_sub(self.cached_tokens(parts, now_ms))
     }
 
-    fn is_cached(&self, id: u64, now_ms: u64) -> bool {
+    fn is_cached(&self, id: PartId, now_ms: u64) -> bool {
         self.sent_at_ms
             .get(&id)
             .is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < EVICTION_MS)
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -11,9 +11,11 @@
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     placement::CallOutcome,
+    poison::SuspectCall,
     retries::{CallProgress, SendFailure},
     streams::StreamOrigin,
-    wire_format::{CallHead, Dispatch, TokenCounts},
+    tasks::target_check::record_broken_call,
+    wire_format::{CallHead, Dispatch, PartId, TokenCounts},
 };
 
 use super::call_log::CallLog;
@@ -38,6 +40,8 @@
     pub(crate) uri: Uri,
     /// Headers of the caller's request, without hop-by-hop headers.
     pub(crate) headers: HeaderMap,
+    /// Parts of the prompt that other calls may have too.
+    pub(crate) shared_parts: Rc<[PartId]>,
     /// Body of the caller's request.
     pub(crate) body: Bytes,
     /// When the caller's timeout or the route's timeout ends, whichever is earlier.
@@ -230,17 +234,20 @@
 /// Guard that counts a call as in flight at a target until it is dropped.
 pub(crate) struct InFlightCall<P: Platform> {
     gateway: Rc<Gateway<P>>,
-    target: TargetName,
+    target: Rc<TargetEntry>,
+    shared_parts: Rc<[PartId]>,
+    sent_at_ms: u64,
+    first_event_ms: Option<u64>,
     unread_tokens: u64,
 }
 
 impl<P: Platform> InFlightCall<P> {
     /// Counts a call that is about to be sent.
-    pub(crate) fn begin(gateway: Rc<Gateway<P>>, target: &TargetName, call: &Call) -> Self {
+    pub(crate) fn begin(gateway: Rc<Gateway<P>>, target: &Rc<TargetEntry>, call: &Call) -> Self {
         let now_ms = gateway.now_ms();
         let parts = &call.head.prompt_parts;
         let mut unread_tokens = 0;
-        if let Some(target_state) = gateway.state.borrow_mut().targets.get_mut(target) {
+        if let Some(target_state) = gateway.state.borrow_mut().targets.get_mut(&target.name) {
             unread_tokens = target_state.prompt_cache.uncached_tokens(parts, now_ms);
             target_state.in_flight += 1;
             target_state.unread_tokens += unread_tokens;
@@ -248,25 +255,42 @@
         }
         Self {
             gateway,
-            target: target.clone(),
+            target: Rc::clone(target),
+            shared_parts: Rc::clone(&call.shared_parts),
+            sent_at_ms: now_ms,
+            first_event_ms: None,
             unread_tokens,
         }
     }
 
     /// Returns the name of the target.
-    pub(crate) const fn target(&self) -> &TargetName {
-        &self.target
+    pub(crate) fn target(&self) -> &TargetName {
+        &self.target.name
     }
 
     /// Records the first event of the response, which shows that the target has read the prompt.
     pub(crate) fn record_first_event(&mut self) {
+        self.first_event_ms = Some(self.gateway.now_ms());
+        self.clear_unread_tokens();
+    }
+
+    /// Records that the target broke the connection after the call was sent.
+    pub(crate) fn record_broken(&self) {
+        let call = SuspectCall {
+            shared_parts: self.shared_parts.to_vec(),
+            sent_at_ms: self.sent_at_ms,
+        };
+        record_broken_call(&self.gateway, &self.target, call, self.first_event_ms);
+    }
+
+    fn clear_unread_tokens(&mut self) {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
         if let Some(target_state) = self
             .gateway
             .state
             .borrow_mut()
             .targets
-            .get_mut(&self.target)
+            .get_mut(&self.target.name)
         {
             target_state.unread_tokens = target_state.unread_tokens.saturating_sub(unread_tokens);
         }
@@ -276,16 +300,16 @@
     pub(crate) fn record_outcome(&self, outcome: CallOutcome) {
         let now_ms = self.gateway.now_ms();
         let mut state = self.gateway.state.borrow_mut();
-        let avoided = state.targets.record_outcome(&self.target, outcome, now_ms);
+        let avoided = state.targets.record_outcome(self.target(), outcome, now_ms);
         if !avoided.target && !avoided.data_centre {
             return;
         }
-        let Some(target_state) = state.targets.get(&self.target) else {
+        let Some(target_state) = state.targets.get(self.target()) else {
             return;
         };
         log::warn!(
             target: "target",
-            name = self.target.as_str(),
+            name = self.target().as_str(),
             end:? = outcome,
             failed_part = target_state.failures.failure_rate(),
             pause_ms = target_state.failures.backoff_until_ms().saturating_sub(now_ms),
@@ -298,13 +322,13 @@
 
 impl<P: Platform> Drop for InFlightCall<P> {
     fn drop(&mut self) {
-        self.record_first_event();
+        self.clear_unread_tokens();
         if let Some(target_state) = self
             .gateway
             .state
             .borrow_mut()
             .targets
-            .get_mut(&self.target)
+            .get_mut(&self.target.name)
         {
             target_state.in_flight = target_state.in_flight.saturating_sub(1);
         }
--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -13,6 +13,8 @@
     pub(crate) route: String,
     /// Name of the organisation; empty if the call has none.
     pub(crate) organisation: String,
+    /// Parts of its prompt that other calls may have too; empty if it has none.
+    pub(crate) shared_parts: String,
     /// Version of the configuration that applied to the call.
     pub(crate) config_version: u64,
     /// When the call was received.
@@ -54,6 +56,7 @@
             id = self.id.as_str(),
             route = self.route.as_str(),
             organisation = self.organisation.as_str(),
+            shared_parts = self.shared_parts.as_str(),
             config_version = self.config_version,
             sent_to = self.sent_to.join(",").as_str(),
             software_versions = self.software_versions.join(",").as_str(),
@@ -86,6 +89,7 @@
             id = self.id.as_str(),
             route = self.route.as_str(),
             organisation = self.organisation.as_str(),
+            shared_parts = self.shared_parts.as_str(),
             config_version = self.config_version,
             sent_to = self.sent_to.join(",").as_str(),
             software_versions = self.software_versions.join(",").as_str(),
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -117,7 +117,24 @@
         if self.open(&target.name) >= max_open {
             return Err(CheckoutError::Exhausted);
         }
-        self.connect(target).await
+        Ok(self.connect(target).await?)
+    }
+
+    /// Opens a connection to the target and keeps it for a later call.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectError`] if the target does not accept it.
+    pub(crate) async fn connect_idle(
+        self: &Rc<Self>,
+        target: &TargetEntry,
+        now_ms: u64,
+    ) -> Result<(), ConnectError> {
+        let mut connection = self.connect(target).await?;
+        // The driver of a new connection reports it as ready once it has run.
+        let _ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
+        self.check_in(&target.name, connection, None, now_ms);
+        Ok(())
     }
 
     /// Makes a connection whose last response was read to its end available again.
@@ -197,7 +214,7 @@
     async fn connect(
         self: &Rc<Self>,
         target: &TargetEntry,
-    ) -> Result<TargetConnection, CheckoutError> {
+    ) -> Result<TargetConnection, ConnectError> {
         // Count the connection before it is established, so that concurrent calls keep the limit.
         self.by_target
             .borrow_mut()
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -11,6 +11,7 @@
 use crate::{
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route},
+    poison::join_parts,
     retries::CallProgress,
     wire_format::CallHead,
 };
@@ -50,6 +51,7 @@
     if let Some(organisation) = &organisation {
         tracker.log.organisation = organisation.name.to_string();
     }
+    tracker.log.shared_parts = join_parts(&head.shared_parts());
     let id = head.id.clone().ok_or(Refusal::NoId)?;
     let body = read_body(body, config.caller_limits.max_body_bytes).await?;
     let service = route
@@ -68,6 +70,7 @@
         method: parts.method,
         uri: parts.uri,
         headers,
+        shared_parts: head.shared_parts().into(),
         body,
         deadline_ms: began_ms + caller_timeout_ms.min(route.timeout_ms),
         route,
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -79,6 +79,7 @@
                 }
                 StreamEnd::Failed(failure) => {
                     source.in_flight_call.record_outcome(failure);
+                    source.in_flight_call.record_broken();
                     splitter.discard_partial();
                     let target = source.in_flight_call.target().clone();
                     // Close the connection before another target resumes the stream.
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -158,7 +158,7 @@
 ) -> Result<TargetResponse<P>, SendFailure> {
     let now_ms = gateway.now_ms();
     let target = &chosen.entry;
-    let mut in_flight_call = InFlightCall::begin(Rc::clone(gateway), &target.name, call);
+    let mut in_flight_call = InFlightCall::begin(Rc::clone(gateway), target, call);
     tracker.log.sent_to.push(target.name.to_string());
     let software_version = target.software_version.to_string();
     tracker.log.software_versions.push(software_version);
@@ -211,6 +211,9 @@
         }
         Err(failure) => {
             in_flight_call.record_outcome(failure.call_outcome());
+            if failure == SendFailure::MayHaveRun(CallOutcome::Broken) {
+                in_flight_call.record_broken();
+            }
             let may_have_run =
                 call.progress.may_have_run || matches!(failure, SendFailure::MayHaveRun(_));
             if !may_have_run {
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -10,6 +10,7 @@
     config::FleetConfig,
     peers::{GatewayLocation, Members},
     placement::TargetTable,
+    poison::BrokenCalls,
     retries::{initial_retry_budget, retry_share},
     settings::Bounds,
     streams::{OriginTable, VersionHistory},
@@ -34,6 +35,8 @@
     pub(crate) target_versions: VersionHistory,
     /// Where recent streams began.
     pub(crate) stream_origins: OriginTable,
+    /// Calls whose connections broke, until it is known whether their targets have ended.
+    pub(crate) broken_calls: BrokenCalls,
     /// Whether the targets have been read at least once.
     pub(crate) targets_loaded: bool,
     /// Whether the other gateways have been read at least once.
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -8,4 +8,5 @@
 pub(crate) mod peer_exchange;
 pub(crate) mod shutdown;
 mod store_health;
+pub(crate) mod target_check;
 pub(crate) mod target_watch;
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -1,6 +1,6 @@
 //! Formats of calls, responses, configurations and registrations on the wire.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -8,11 +8,26 @@
 
 use crate::config::{FleetConfig, TargetEntry};
 
+/// Maximum number of parts of one call that are remembered, so that a caller cannot fill the memory.
+const MAX_SHARED_PARTS: usize = 64;
+
+/// Id of a part of a prompt, the same in every call that has the part.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 /// One part of a prompt. Other calls may have the same part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
-    /// Hash of the part's id.
-    pub id: u64,
+    /// Id of the part.
+    pub id: PartId,
     /// Number of tokens in the part.
     pub tokens: u64,
 }
@@ -51,6 +66,18 @@
     pub resumption: Option<Resumption>,
 }
 
+impl CallHead {
+    /// Returns the parts of the prompt that other calls may have too, which are all but the last, up to
+    /// `MAX_SHARED_PARTS`.
+    #[must_use]
+    pub fn shared_parts(&self) -> Vec<PartId> {
+        let shared = self.prompt_parts.len().saturating_sub(1);
+        let shared = shared.min(MAX_SHARED_PARTS);
+        let parts = self.prompt_parts.iter().take(shared);
+        parts.map(|part| part.id).collect()
+    }
+}
+
 /// Where a caller resumes a stream that broke off in an earlier attempt.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Resumption {
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -9,7 +9,7 @@
         CallOutcome, ChoiceRequest, ChoiceSettings, DeregistrationGrace, FailureHistory,
         TargetChange, TargetState, TargetTable, choose_target,
     },
-    wire_format::PromptPart,
+    wire_format::{PartId, PromptPart},
 };
 use toucan_types::{DataCentreName, ServiceName, SoftwareVersion, TargetName};
 
@@ -46,11 +46,11 @@
 fn prompt(shared: u64) -> [PromptPart; 2] {
     [
         PromptPart {
-            id: shared,
+            id: PartId(shared),
             tokens: 13_300,
         },
         PromptPart {
-            id: shared ^ 0xffff_0000,
+            id: PartId(shared ^ 0xffff_0000),
             tokens: 3_700,
         },
     ]
