--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -11,6 +11,9 @@
 
 use crate::socket_options::set_liveness_options;
 
+/// Maximum size of the head of a response, and of what is read ahead of its body.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// a connection cannot be set up: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[allow(
@@ -68,6 +71,7 @@
     };
     let stream = connected?;
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
         .await?;
     tokio::task::spawn_local(async move {
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -1,12 +1,19 @@
 //! Exchange of one request with one target, up to the response headers.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::{sync::Notify, time::timeout};
 use toucan_types::{RequestId, TargetName};
 
 use crate::{
@@ -20,6 +27,9 @@
     ConnectionPool, TargetConnection, body_framing::BodyFraming, connection_pool::CheckoutError,
 };
 
+/// Maximum number of heads that announce another one, such as early hints, before the head of a response.
+const MAX_INFORMATIONAL_HEADS: u32 = 16;
+
 /// A call to be sent to one target.
 pub(crate) struct Exchange<'a> {
     /// Target that gets the request.
@@ -85,8 +95,17 @@
             CheckoutError::Connect(_) => CallOutcome::NotConnected,
         })
     })?;
-    let sent = connection.sender.try_send_request(exchange.request);
-    let Ok(result) = timeout(exchange.head_timeout, sent).await else {
+    let mut request = exchange.request;
+    let too_many_heads = limit_informational_heads(&mut request);
+    let sent = connection.sender.try_send_request(request);
+    let result = tokio::select! {
+        result = timeout(exchange.head_timeout, sent) => result,
+        () = too_many_heads.notified() => {
+            log::warn!(target: "call", id = exchange.id.as_str(), name = exchange.target.name.as_str(); "the target sends informational heads without end, the connection is closed");
+            return Err(SendFailure::MayHaveRun(CallOutcome::Broken));
+        }
+    };
+    let Ok(result) = result else {
         return Err(SendFailure::MayHaveRun(CallOutcome::Silent));
     };
     let response = result.map_err(|mut error| match error.take_message() {
@@ -122,6 +141,19 @@
     })
 }
 
+/// Returns what is notified when the target has answered a request with too many informational heads.
+fn limit_informational_heads(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let exceeded = Arc::new(Notify::new());
+    let heads = AtomicU32::new(0);
+    let notify = Arc::clone(&exceeded);
+    hyper::ext::on_informational(request, move |_head| {
+        if heads.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_HEADS {
+            notify.notify_one();
+        }
+    });
+    exceeded
+}
+
 /// Returns the idle timeout that the target announces in its `Keep-Alive` header.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod call_log;
 mod choose;
+mod collect_body;
 mod connection_pool;
 mod exchange;
 pub(crate) mod http_listener;
@@ -16,6 +17,7 @@
 mod send;
 mod serve_call;
 
+pub(crate) use collect_body::ResponseMemory;
 pub(crate) use connection_pool::{ConnectionPool, TargetConnection};
 pub(crate) use reserve_tokens::{TokenWait, WaitKind};
 pub(crate) use serve_call::serve_call;
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -18,6 +18,9 @@
     send::{EventResponse, TargetResponse, next_bytes, send_with_retries, take_retry},
 };
 
+/// Maximum size of one event, or of the comments after the last one.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// End of the stream of one target.
 enum StreamEnd {
     Complete,
@@ -51,6 +54,10 @@
                         tracker.log.record_progress(&splitter);
                         yield complete_events;
                     }
+                if splitter.partial_event_bytes() > MAX_EVENT_BYTES {
+                    log::warn!(target: "call", id = call.id.as_str(), name = source.in_flight_call.target().as_str(); "an event is larger than allowed, the connection is closed");
+                    break StreamEnd::Failed(CallOutcome::Broken);
+                }
                 let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
                 match timeout(left, next_bytes(&mut source.response.body)).await {
                     Err(_elapsed) => break StreamEnd::DeadlineReached,
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -280,11 +280,12 @@
             Some(Err(_)) | None => Err(broken),
         };
     }
-    let collected = timeout(left, (&mut response.body).collect()).await;
-    let body = collected
-        .map_err(|_elapsed| silent)?
-        .map_err(|_error| broken)?
-        .to_bytes();
+    let collected = gateway.response_memory.collect(&mut response.body);
+    let collected = timeout(left, collected).await.map_err(|_elapsed| silent)?;
+    let body = collected.map_err(|error| {
+        log::warn!(target: "call", id = call.id.as_str(), name = in_flight_call.target().as_str(), error:% = error; "the answer is discarded and its connection closed");
+        broken
+    })?;
     let full = FullResponse {
         status: response.status,
         headers: std::mem::take(&mut response.headers),
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -2,7 +2,7 @@
 
 use std::{pin::Pin, rc::Rc};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, TryStreamExt};
 use http::{Request, Response, Version, header};
 use http_body_util::Full;
@@ -21,6 +21,9 @@
     send::{FullResponse, Refused, TargetResponse, send_with_retries},
 };
 
+/// Maximum size of a stream for a caller that has to get it as a whole.
+const MAX_COLLECTED_STREAM_BYTES: usize = 1024 * 1024;
+
 /// Serves one call and returns the response for its caller.
 pub(crate) async fn serve_call<P: Platform>(
     gateway: Rc<Gateway<P>>,
@@ -59,8 +62,15 @@
 where
     S: Stream<Item = Result<Bytes, IncompleteResponse>>,
 {
-    match stream.try_collect::<Vec<Bytes>>().await {
-        Ok(events) => response.map(|()| ResponseBody::Full(Full::new(events.concat().into()))),
+    let collected = stream.try_fold(BytesMut::new(), |mut collected, events| async move {
+        if collected.len() + events.len() > MAX_COLLECTED_STREAM_BYTES {
+            return Err(IncompleteResponse);
+        }
+        collected.extend_from_slice(&events);
+        Ok(collected)
+    });
+    match collected.await {
+        Ok(events) => response.map(|()| ResponseBody::Full(Full::new(events.freeze()))),
         Err(IncompleteResponse) => refusal_response(Refusal::TargetFailed),
     }
 }
