End a stream at its deadline also if its bytes never pause

What callers saw: a stream of events or comments that a target sends without a pause went on past the caller's deadline and kept the gateway busy for as long as the target sent.

Cause: the rest of the time was given to a timeout, which returns bytes that are there already even if no time is left.

Evidence: both tests of stream_without_end_ends_at_its_deadline ran into their limit of 3 s with a deadline of 1 s; with the deadline looked at before each read both pass. All 14 tests of endless_bytes.rs pass. Ruled out: streams that are slow or silent, for which the timeout works.

--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -59,6 +59,10 @@
                     break StreamEnd::Failed(CallOutcome::Broken);
                 }
                 let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
+                if left.is_zero() {
+                    // A timeout of zero would still return bytes that are there already.
+                    break StreamEnd::DeadlineReached;
+                }
                 match timeout(left, next_bytes(&mut source.response.body)).await {
                     Err(_elapsed) => break StreamEnd::DeadlineReached,
                     Ok(None) if splitter.is_inside_event() => {
