Refuse messages and records that claim an absurd length

What callers saw: nothing yet. One datagram of 25 bytes from anywhere ended a gateway with all its calls, before its authentication code was looked at; one such record of a member or a grant in the store ended every gateway that read it, one after the other, and each again at its start.

Cause: the decoder allocates the length that a text claims before it reads it, and only some decoders had a limit.

--- a/crates/toucan_gateway/src/budget/grant_record.rs
+++ b/crates/toucan_gateway/src/budget/grant_record.rs
@@ -3,6 +3,8 @@
 use displaydoc::Display;
 use toucan_types::{DocumentVersion, OrganisationName, Tokens, VmName};
 
+use crate::binary_format;
+
 /// Separates the fields of a key; names never contain it.
 const KEY_SEPARATOR: char = '\u{1f}';
 /// Replaces the process in the key of an organisation's total for former processes.
@@ -122,8 +124,7 @@
     ///
     /// [`GrantRecordError`] if the encoder fails.
     pub fn encode(&self) -> Result<Vec<u8>, GrantRecordError> {
-        bincode::serde::encode_to_vec(self, bincode::config::standard())
-            .map_err(|error| GrantRecordError(error.to_string()))
+        binary_format::encode(self).map_err(|error| GrantRecordError(error.to_string()))
     }
 
     /// Decodes a record from the log.
@@ -132,8 +133,6 @@
     ///
     /// [`GrantRecordError`] if the bytes are not a grant record.
     pub fn decode(bytes: &[u8]) -> Result<Self, GrantRecordError> {
-        let (record, _read) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())
-            .map_err(|error| GrantRecordError(error.to_string()))?;
-        Ok(record)
+        binary_format::decode(bytes).map_err(|error| GrantRecordError(error.to_string()))
     }
 }
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod streams;
 pub mod wire_format;
 
+mod binary_format;
 mod clock;
 mod error;
 mod event_splitter;
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -4,7 +4,8 @@
 use toucan_types::{OrganisationName, RequestId, TargetName, Tokens, VmName};
 
 use crate::{
-    budget::PeerRecovery, poison::PoisonVerdict, streams::StreamOrigin, wire_format::PartId,
+    binary_format, budget::PeerRecovery, poison::PoisonVerdict, streams::StreamOrigin,
+    wire_format::PartId,
 };
 
 use super::{EndedTarget, TransferId};
@@ -144,7 +145,7 @@
     ///
     /// [`DatagramError::Unreadable`] if the encoder fails.
     pub fn encode(&self, key: &[u8; 32]) -> Result<Vec<u8>, DatagramError> {
-        let content = bincode::serde::encode_to_vec(self, bincode::config::standard())
+        let content = binary_format::encode(self)
             .map_err(|error| DatagramError::Unreadable(error.to_string()))?;
         let mac = blake3::keyed_hash(key, &content);
         let mut bytes = mac.as_bytes()[..MAC_BYTES].to_vec();
@@ -166,9 +167,8 @@
         let Some((mac, content)) = bytes.split_at_checked(MAC_BYTES) else {
             return Err(DatagramError::TooShort);
         };
-        let (datagram, _read): (Self, usize) =
-            bincode::serde::decode_from_slice(content, bincode::config::standard())
-                .map_err(|error| DatagramError::Unreadable(error.to_string()))?;
+        let datagram: Self = binary_format::decode(content)
+            .map_err(|error| DatagramError::Unreadable(error.to_string()))?;
         let key = key_of(&datagram.vm, datagram.start).ok_or(DatagramError::UnknownSender)?;
         let expected = blake3::keyed_hash(&key, content);
         // Blake3 compares hashes in constant time.
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::{DataCentreName, FastHashMap, VmName};
 
-use crate::budget::PeerRecovery;
+use crate::{binary_format, budget::PeerRecovery};
 
 use super::GatewayLocation;
 
@@ -29,6 +29,26 @@
     pub data_centre: DataCentreName,
 }
 
+impl MemberEntry {
+    /// Encodes the entry as the value of a record.
+    ///
+    /// # Errors
+    ///
+    /// The encoder's error.
+    pub fn encode(&self) -> Result<Vec<u8>, bincode::error::EncodeError> {
+        binary_format::encode(self)
+    }
+
+    /// Decodes the value of a record.
+    ///
+    /// # Errors
+    ///
+    /// The decoder's error if the value is no registration.
+    pub fn decode(bytes: &[u8]) -> Result<Self, bincode::error::DecodeError> {
+        binary_format::decode(bytes)
+    }
+}
+
 /// Another gateway, as seen by this one.
 #[derive(Clone, Debug)]
 pub struct Member {
--- a/crates/toucan_gateway/src/tasks/membership.rs
+++ b/crates/toucan_gateway/src/tasks/membership.rs
@@ -64,7 +64,8 @@
 
 async fn try_register<P: Platform>(gateway: &Rc<Gateway<P>>) -> Result<(), AppendError> {
     let entry = gateway.member_entry();
-    let value = bincode::serde::encode_to_vec(&entry, bincode::config::standard())
+    let value = entry
+        .encode()
         .map_err(|error| AppendError::Invalid(error.to_string()))?;
     append(gateway, Some(Bytes::from(value))).await
 }
@@ -116,8 +117,8 @@
         log::info!(target: "members", vm = vm.as_str(), offset = read.offset.0; "gateway left");
         return;
     };
-    match bincode::serde::decode_from_slice::<MemberEntry, _>(bytes, bincode::config::standard()) {
-        Ok((entry, _read)) => {
+    match MemberEntry::decode(bytes) {
+        Ok(entry) => {
             log::info!(target: "members", vm = vm.as_str(), offset = read.offset.0, address:% = entry.address; "gateway registered");
             state.members.register(vm, entry, now_ms);
         }
--- a/crates/toucan_ledger/src/snapshot_loader.rs
+++ b/crates/toucan_ledger/src/snapshot_loader.rs
@@ -7,6 +7,8 @@
 
 /// Number of incomplete snapshots that are kept at once.
 const MAX_INCOMPLETE: usize = 4;
+/// Maximum size of one item. A length that the writer claims is not believed beyond it.
+const MAX_ITEM_BYTES: usize = 1 << 20;
 
 /// Maximum number of parts of one snapshot.
 const MAX_PARTS: u32 = 1 << 16;
@@ -90,7 +92,7 @@
         for body in bodies {
             let mut rest = body.as_slice();
             while !rest.is_empty() {
-                let settings = bincode::config::standard();
+                let settings = bincode::config::standard().with_limit::<MAX_ITEM_BYTES>();
                 let (item, read) = bincode::serde::decode_from_slice(rest, settings).ok()?;
                 digest = digest.wrapping_add(item_digest(&rest[..read]));
                 items.push(item);
--- a/crates/toucan_ledger/tests/snapshots.rs
+++ b/crates/toucan_ledger/tests/snapshots.rs
@@ -159,3 +159,27 @@
     };
     assert_eq!(RecordBatch::decode(&batch.encode().unwrap()), Ok(batch));
 }
+
+/// The decoder must not take the memory that a damaged part claims to need.
+#[test]
+fn length_in_a_damaged_part_is_not_believed() {
+    const LENGTH_OF_8_BYTES: u8 = 253;
+    for variant in 0..8 {
+        for integers in 0..4 {
+            let mut body = vec![variant];
+            body.extend(std::iter::repeat_n(1, integers));
+            body.push(LENGTH_OF_8_BYTES);
+            body.extend_from_slice(&(1_u64 << 62).to_le_bytes());
+            let part = SnapshotPart {
+                writer: WRITER,
+                up_to: Offset(1),
+                part: 0,
+                parts: 1,
+                digest: 0,
+                body,
+            };
+            let mut loader = SnapshotLoader::new(LedgerSettings::default());
+            assert!(push(&mut loader, &part).is_none());
+        }
+    }
+}
