Count no more tokens of a prompt's parts than its caller pays for

What callers saw: nothing yet. A call whose header claims parts of 2^63 tokens made its target look loaded for as long as it was answered, at this gateway and at all others that hear its load, and calls of others were refused as overloaded. In debug builds the sum of the parts ended the call with a panic and its caller got no answer.

Cause: tokens of parts were taken as the caller sent them; only the totals of the call are reserved and paid for.

Change: the parts of a call are cut to its prompt, at most 2^24 tokens. The time limit of a route and the keep-alive time of a target no longer wrap around when they are added to the time. Ruled out: refusing such calls, as the parts serve placement alone.

--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -152,7 +152,7 @@
         connection.is_reused = true;
         let idle = IdleConnection {
             connection,
-            usable_until_ms: now_ms + idle_ms.saturating_sub(IDLE_MARGIN_MS),
+            usable_until_ms: now_ms.saturating_add(idle_ms.saturating_sub(IDLE_MARGIN_MS)),
         };
         let surplus = {
             let mut targets = self.by_target.borrow_mut();
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -33,7 +33,8 @@
 ) -> Result<Call, Refusal> {
     let began_ms = tracker.log.began_ms;
     let (parts, body) = request.into_parts();
-    let head = gateway.platform.read_call(&parts.headers);
+    let mut head = gateway.platform.read_call(&parts.headers);
+    head.limit_part_tokens();
     if let Some(id) = &head.id {
         tracker.log.id = id.to_string();
     }
@@ -72,7 +73,7 @@
         headers,
         shared_parts: head.shared_parts().into(),
         body,
-        deadline_ms: began_ms + caller_timeout_ms.min(route.timeout_ms),
+        deadline_ms: began_ms.saturating_add(caller_timeout_ms.min(route.timeout_ms)),
         route,
         head,
         origin: None,
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -11,6 +11,9 @@
 /// Maximum number of parts of one call that are remembered, so that a caller cannot fill the memory.
 const MAX_SHARED_PARTS: usize = 64;
 
+/// Maximum number of tokens of a prompt that targets are compared by.
+const MAX_PROMPT_TOKENS: u64 = 1 << 24;
+
 /// Id of a part of a prompt, the same in every call that has the part.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
@@ -67,6 +70,19 @@
 }
 
 impl CallHead {
+    /// Limits the parts to the tokens of the whole prompt, by which the call is paid for.
+    ///
+    /// Targets are compared by the tokens that they still have to process, so a caller must not be
+    /// able to claim any number.
+    pub fn limit_part_tokens(&mut self) {
+        let input = self.tokens.map_or(0, |tokens| tokens.input);
+        let mut left = input.min(MAX_PROMPT_TOKENS);
+        for part in &mut self.prompt_parts {
+            part.tokens = part.tokens.min(left);
+            left -= part.tokens;
+        }
+    }
+
     /// Returns the parts of the prompt that other calls may have too, which are all but the last, up to
     /// `MAX_SHARED_PARTS`.
     #[must_use]
