Begin a task of a gateway anew if it fails unexpectedly

What callers saw: nothing yet.

Cause: the tasks are spawned and nobody waits for their end.

Change: each task is watched; after a panic it is logged, counted and begun anew a second later. The one that keeps account of tokens is not, as a second run in one process does not know its own grants; the process stops as planned and what it holds counts as spent. Ruled out: ending the process for every task, as one input would then end all gateways in turn.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -48,6 +48,8 @@
     pub(crate) tokens_changed: Notify,
     /// Notifies calls that wait for the trial of a part.
     pub(crate) poison_changed: Notify,
+    /// Notified when the task that draws and reports tokens has failed.
+    pub(crate) grants_failed: Notify,
     /// Wakes the task that writes verdicts on parts.
     pub(crate) verdicts_changed: Notify,
     /// Wakes the task that draws and returns tokens.
@@ -81,6 +83,7 @@
             tokens_changed: Notify::new(),
             poison_changed: Notify::new(),
             verdicts_changed: Notify::new(),
+            grants_failed: Notify::new(),
             sync_requested: Notify::new(),
             grants_synced_at: watch::channel(0).0,
             listener_state: watch::channel(ListenerState::Open).0,
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -1,6 +1,6 @@
 //! Start and graceful shutdown of a gateway process.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use displaydoc::Display;
 use http::{Request, Response, StatusCode};
@@ -17,6 +17,7 @@
 use crate::{
     Gateway, Platform,
     config::CallerLimits,
+    duty::spawn_duty,
     inspection::render_page,
     serving::{
         http_listener::{ListenerState, serve_listener},
@@ -60,13 +61,13 @@
     pub async fn launch(platform: P, settings: GatewaySettings) -> Result<Rc<Self>, StartError> {
         let gateway = Rc::new(Self::new(platform, settings));
         gateway.listen().await?;
-        spawn_local(watch_config(Rc::clone(&gateway)));
-        spawn_local(watch_targets(Rc::clone(&gateway)));
-        spawn_local(watch_members(Rc::clone(&gateway)));
-        spawn_local(sync_grants(Rc::clone(&gateway)));
-        spawn_local(watch_verdicts(Rc::clone(&gateway)));
-        spawn_local(write_verdicts(Rc::clone(&gateway)));
-        spawn_local(sweep_connections(Rc::clone(&gateway)));
+        gateway.spawn_duty("configuration", watch_config);
+        gateway.spawn_duty("targets", watch_targets);
+        gateway.spawn_duty("members", watch_members);
+        gateway.spawn_duty("verdicts", watch_verdicts);
+        gateway.spawn_duty("verdict", write_verdicts);
+        gateway.spawn_duty("connections", sweep_connections);
+        gateway.spawn_grant_sync();
         log::info!(
             target: "process",
             vm = gateway.settings.vm.as_str(),
@@ -78,6 +79,37 @@
         Ok(gateway)
     }
 
+    /// Runs a task until the process ends.
+    fn spawn_duty<F>(self: &Rc<Self>, name: &'static str, duty: impl Fn(Rc<Self>) -> F + 'static)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let gateway = Rc::clone(self);
+        spawn_duty(name, move || duty(Rc::clone(&gateway)));
+    }
+
+    /// Runs the task that draws and reports tokens.
+    ///
+    /// It must not begin anew in the same process: what it knew of its own grants is lost. Should it
+    /// panic, the process stops, which counts all that it holds as spent.
+    fn spawn_grant_sync(self: &Rc<Self>) {
+        let gateway = Rc::clone(self);
+        spawn_local(async move {
+            let ended = spawn_local(sync_grants(Rc::clone(&gateway))).await;
+            if let Err(error) = ended
+                && error.is_panic()
+            {
+                log::error!(target: "process", duty = "grants", error:% = error; "a task failed unexpectedly, the process stops");
+                gateway.grants_failed.notify_one();
+            }
+        });
+    }
+
+    /// Waits until the process has to stop because it cannot keep account of its tokens.
+    pub async fn wait_for_failure(&self) {
+        self.grants_failed.notified().await;
+    }
+
     async fn listen(self: &Rc<Self>) -> Result<(), StartError> {
         let callers = bind("callers", self.settings.caller_address.into())?;
         let readiness = bind("readiness", self.settings.readiness_address.into())?;
@@ -88,8 +120,10 @@
             error,
         })?);
         self.set_peers_socket(Rc::clone(&peers));
-        spawn_local(receive_datagrams(Rc::clone(self), peers));
-        spawn_local(broadcast_load(Rc::clone(self)));
+        self.spawn_duty("peers", move |gateway| {
+            receive_datagrams(gateway, Rc::clone(&peers))
+        });
+        self.spawn_duty("load", broadcast_load);
 
         let subscribe = || self.listener_state.subscribe();
         let gateway = Rc::clone(self);
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod binary_format;
 mod clock;
+mod duty;
 mod error;
 mod event_splitter;
 mod gateway;
