Take no target for ended whose connections time out

Ends that are spread over seconds do not look like one event.

Change: a connection that times out, or whose peer is unreachable, has an outcome of its own. It counts against the target as before and starts no check.

Ruled out: counting ends of several parts or targets at a time as one, as a flood of calls with a deadly part does that too. Four tests of the classification are new.

--- a/crates/toucan_gateway/src/placement/failure_history.rs
+++ b/crates/toucan_gateway/src/placement/failure_history.rs
@@ -1,5 +1,7 @@
 //! Failures of one target, and how long they make it avoided.
 
+use std::{error::Error, io};
+
 /// Outcome of a call at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallOutcome {
@@ -11,12 +13,42 @@
     Shed,
     /// The connection to the target failed.
     NotConnected,
-    /// The connection broke, or the answer was not valid.
+    /// The target closed the connection, or the answer was not valid.
     Broken,
+    /// The connection timed out: nothing arrives from the target, which may live behind a network
+    /// partition.
+    Lost,
     /// The target did not answer in time.
     Silent,
 }
 
+impl CallOutcome {
+    /// Returns the outcome of a call whose connection failed with `error`.
+    #[must_use]
+    pub fn of_connection_error(error: &(impl Error + 'static)) -> Self {
+        let mut cause: Option<&(dyn Error + 'static)> = Some(error);
+        while let Some(error) = cause {
+            if let Some(error) = error.downcast_ref::<io::Error>()
+                && is_unreachable(error.kind())
+            {
+                return Self::Lost;
+            }
+            cause = error.source();
+        }
+        Self::Broken
+    }
+}
+
+const fn is_unreachable(kind: io::ErrorKind) -> bool {
+    matches!(
+        kind,
+        io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable
+            | io::ErrorKind::NetworkDown
+    )
+}
+
 /// Weight of the latest call in the moving average of failures.
 const SMOOTHING_FACTOR: f64 = 0.1;
 /// First backoff; it doubles with each further consecutive failure.
@@ -43,7 +75,10 @@
             // rate, by which targets are compared.
             CallOutcome::Errored => 0.5,
             CallOutcome::Shed => 0.3,
-            CallOutcome::NotConnected | CallOutcome::Broken | CallOutcome::Silent => 1.0,
+            CallOutcome::NotConnected
+            | CallOutcome::Broken
+            | CallOutcome::Lost
+            | CallOutcome::Silent => 1.0,
         };
         self.failure_rate += SMOOTHING_FACTOR * (weight - self.failure_rate);
         match outcome {
@@ -53,7 +88,10 @@
                 false
             }
             CallOutcome::Shed => false,
-            CallOutcome::NotConnected | CallOutcome::Broken | CallOutcome::Silent => {
+            CallOutcome::NotConnected
+            | CallOutcome::Broken
+            | CallOutcome::Lost
+            | CallOutcome::Silent => {
                 self.consecutive_failures += 1;
                 let tolerated = match outcome {
                     CallOutcome::NotConnected => 0,
--- a/crates/toucan_gateway/src/serving/collect_body.rs
+++ b/crates/toucan_gateway/src/serving/collect_body.rs
@@ -6,6 +6,8 @@
 use displaydoc::Display;
 use hyper::body::Incoming;
 
+use crate::placement::CallOutcome;
+
 use super::send::next_bytes;
 
 /// Maximum size of a response that is collected. Streams of events are not.
@@ -22,8 +24,8 @@
     reason = "displaydoc takes the texts of errors from here"
 )]
 pub(crate) enum CollectError {
-    /// its connection broke
-    Broken,
+    /// its connection failed
+    Connection(CallOutcome),
     /// it is larger than allowed
     TooLarge,
     /// it and others together are larger than allowed
@@ -81,7 +83,9 @@
         };
         let mut collected = BytesMut::new();
         while let Some(bytes) = next_bytes(body).await {
-            let bytes = bytes.map_err(|_error| CollectError::Broken)?;
+            let bytes = bytes.map_err(|error| {
+                CollectError::Connection(CallOutcome::of_connection_error(&error))
+            })?;
             claim.grow_to(collected.len() + bytes.len())?;
             collected.extend_from_slice(&bytes);
         }
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -111,7 +111,7 @@
     let response = result.map_err(|mut error| match error.take_message() {
         // The connection closed before any byte was written.
         Some(_unsent) => SendFailure::NotSent(CallOutcome::Broken),
-        None => SendFailure::MayHaveRun(CallOutcome::Broken),
+        None => SendFailure::MayHaveRun(CallOutcome::of_connection_error(error.error())),
     })?;
     let (parts, body) = response.into_parts();
     let head = format.read_response(parts.status, &parts.headers);
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -69,7 +69,9 @@
                         break StreamEnd::Failed(CallOutcome::Broken);
                     }
                     Ok(None) => break StreamEnd::Complete,
-                    Ok(Some(Err(_error))) => break StreamEnd::Failed(CallOutcome::Broken),
+                    Ok(Some(Err(error))) => {
+                        break StreamEnd::Failed(CallOutcome::of_connection_error(&error));
+                    }
                     Ok(Some(Ok(bytes))) => chunk = Some(bytes),
                 }
             };
@@ -91,8 +93,10 @@
                 }
                 StreamEnd::Failed(failure) => {
                     source.in_flight_call.record_outcome(failure);
-                    source.in_flight_call.record_broken();
-                    tracker.record_broken();
+                    if failure == CallOutcome::Broken {
+                        source.in_flight_call.record_broken();
+                        tracker.record_broken();
+                    }
                     splitter.discard_partial();
                     let target = source.in_flight_call.target().clone();
                     // Close the connection before another target resumes the stream.
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -20,6 +20,7 @@
 use super::{
     call::{Call, CallTracker, InFlightCall},
     choose::{ChosenTarget, choose_for_call, refusal_without_target},
+    collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     part_trial::check_parts,
 };
@@ -277,12 +278,19 @@
         let first = timeout(left, next_bytes(&mut response.body)).await;
         return match first.map_err(|_elapsed| silent)? {
             Some(Ok(first)) => Ok(ReadResponse::Events(response, first)),
-            Some(Err(_)) | None => Err(broken),
+            Some(Err(error)) => {
+                let outcome = CallOutcome::of_connection_error(&error);
+                Err(SendFailure::MayHaveRun(outcome))
+            }
+            None => Err(broken),
         };
     }
     let collected = gateway.response_memory.collect(&mut response.body);
     let collected = timeout(left, collected).await.map_err(|_elapsed| silent)?;
     let body = collected.map_err(|error| {
+        if let CollectError::Connection(outcome) = error {
+            return SendFailure::MayHaveRun(outcome);
+        }
         log::warn!(target: "call", id = call.id.as_str(), name = in_flight_call.target().as_str(), error:% = error; "the answer is discarded and its connection closed");
         broken
     })?;
--- a/crates/toucan_gateway/tests/retries.rs
+++ b/crates/toucan_gateway/tests/retries.rs
@@ -87,3 +87,36 @@
         assert_eq!(refusal.status().as_u16(), 503);
     }
 }
+
+/// An error of a library, with its cause.
+#[derive(Debug)]
+struct Wrapped(std::io::ErrorKind, Option<std::io::Error>);
+
+impl Wrapped {
+    fn of(kind: std::io::ErrorKind) -> Self {
+        Self(kind, Some(kind.into()))
+    }
+}
+
+impl std::fmt::Display for Wrapped {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "connection error: {}", self.0)
+    }
+}
+
+impl std::error::Error for Wrapped {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        self.1.as_ref().map(|error| error as _)
+    }
+}
+
+/// A partition must not look as if the targets behind it had ended.
+#[test_case(std::io::ErrorKind::TimedOut => CallOutcome::Lost; "timed out")]
+#[test_case(std::io::ErrorKind::HostUnreachable => CallOutcome::Lost; "unreachable")]
+#[test_case(std::io::ErrorKind::ConnectionReset => CallOutcome::Broken; "reset")]
+#[test_case(std::io::ErrorKind::UnexpectedEof => CallOutcome::Broken; "closed")]
+fn connection_that_times_out_is_told_from_one_that_its_target_closes(
+    kind: std::io::ErrorKind,
+) -> CallOutcome {
+    CallOutcome::of_connection_error(&Wrapped::of(kind))
+}
