--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod launch;
 mod logging;
 mod platform;
+mod poison_reports;
 mod serving;
 mod settings;
 mod socket_options;
--- a/crates/toucan_gateway/src/poison/poison_table.rs
+++ b/crates/toucan_gateway/src/poison/poison_table.rs
@@ -43,6 +43,8 @@
     pub cleared: Vec<PartId>,
     /// Those of them that were condemned.
     pub lifted: Vec<PartId>,
+    /// Condemned parts that always came with one of them and now stand alone.
+    pub narrowed: Vec<PartId>,
 }
 
 /// Suspected and condemned parts.
@@ -175,8 +177,10 @@
             }
         }
         if !sound.cleared.is_empty() {
-            for suspicion in self.by_part.values_mut() {
-                suspicion.exclude(&sound.cleared);
+            for (part, suspicion) in &mut self.by_part {
+                if suspicion.exclude(&sound.cleared) && suspicion.is_condemned() {
+                    sound.narrowed.push(*part);
+                }
             }
         }
         sound
@@ -287,6 +291,7 @@
             .by_part
             .entry(verdict.part)
             .or_insert_with(|| Suspicion::new(verdict.companions.clone()));
+        suspicion.narrow(&verdict.companions);
         if suspicion.is_condemned() && suspicion.trials() >= verdict.trials {
             return;
         }
@@ -327,11 +332,14 @@
         suspicion.is_some_and(Suspicion::is_condemned)
     }
 
-    /// Returns the number of calls that were tried since a part was condemned; 0 if it is not.
+    /// Returns whether a verdict, which was applied, has all that is known here: the trials since, and the
+    /// companions that were ruled out.
     #[must_use]
-    pub fn trials(&self, part: PartId) -> u32 {
-        let suspicion = self.by_part.get(&part);
-        suspicion.map_or(0, Suspicion::trials)
+    pub fn knows_no_more_than(&self, verdict: &PoisonVerdict) -> bool {
+        self.by_part.get(&verdict.part).is_none_or(|suspicion| {
+            suspicion.trials() <= verdict.trials
+                && suspicion.companions().len() == verdict.companions.len()
+        })
     }
 
     /// Counts a call that was refused for the verdicts on its parts.
--- a/crates/toucan_gateway/src/poison/suspicion.rs
+++ b/crates/toucan_gateway/src/poison/suspicion.rs
@@ -94,8 +94,7 @@
     /// Records that a target ended while it held a call with the part. Returns whether this condemns
     /// the part.
     ///
-    /// Ends of calls that were under way at the same time count once: something else may have ended
-    /// their targets together.
+    /// Targets that end together count once: something else may have ended them.
     pub(super) fn record_end(
         &mut self,
         instance: &TargetInstance,
@@ -148,9 +147,16 @@
         false
     }
 
-    /// Records that a part is sound, so that it is no companion.
-    pub(super) fn exclude(&mut self, sound: &[PartId]) {
+    /// Records that parts are sound, so that they are no companions. Returns whether one was.
+    pub(super) fn exclude(&mut self, sound: &[PartId]) -> bool {
+        let before = self.companions.len();
         self.companions.retain(|part| !sound.contains(part));
+        self.companions.len() < before
+    }
+
+    /// Leaves only those companions that another gateway has not ruled out.
+    pub(super) fn narrow(&mut self, companions: &[PartId]) {
+        self.companions.retain(|part| companions.contains(part));
     }
 
     /// Returns whether a call with these parts has all that the suspect calls have in common.
@@ -225,14 +231,17 @@
         self.trial.is_some_and(|trial| now_ms < trial.until_ms)
     }
 
+    /// Returns whether calls with the part are sent one at a time or not at all.
     pub(super) fn is_restricted(&self) -> bool {
         self.verdict.is_some() || self.ends.len() >= ENDS_TO_RESTRICT
     }
 
+    /// Returns whether the part is taken for what ends targets.
     pub(super) const fn is_condemned(&self) -> bool {
         self.verdict.is_some()
     }
 
+    /// Returns whether the part is condemned for ends that this gateway knows.
     pub(super) fn is_condemned_by_own_evidence(&self) -> bool {
         self.verdict.is_some_and(|verdict| verdict.is_own)
     }
@@ -244,6 +253,7 @@
         }
     }
 
+    /// Returns the number of calls that were refused for the verdict.
     pub(super) fn refused_calls(&self) -> u64 {
         self.verdict.map_or(0, |verdict| verdict.refused_calls)
     }
@@ -263,15 +273,18 @@
         self.ended_instances().any(|ended| ended == instance)
     }
 
+    /// Returns the number of targets that ended under the part.
     pub(super) const fn ended_targets(&self) -> usize {
         self.ends.len()
     }
 
+    /// Returns when the last target ended under the part; 0 if none is known.
     pub(super) fn last_end_ms(&self) -> u64 {
         let ends = self.ends.iter().map(|end| end.ended_at_ms);
         ends.max().unwrap_or(0)
     }
 
+    /// Returns the parts that a call must all have for the suspicion to apply.
     pub(super) fn companions(&self) -> &[PartId] {
         &self.companions
     }
--- a/crates/toucan_gateway/src/tasks/poison_reports.rs
+++ b/crates/toucan_gateway/src/poison_reports.rs
@@ -32,7 +32,7 @@
     pub(crate) fn accept_target_end(&self, ended: EndedTarget, sender: &VmName) {
         let now_ms = self.now_ms();
         let end = ended.into_end(now_ms);
-        log::info!(
+        log::debug!(
             target: "target",
             name = end.instance.name.as_str(),
             vm = sender.as_str(),
@@ -98,6 +98,11 @@
             return Vec::new();
         }
         self.poison_changed.notify_waiters();
+        let now_ms = self.now_ms();
+        for part in &sound.narrowed {
+            let outbox = &mut self.state.borrow_mut().verdict_outbox;
+            outbox.push_backup(*part, self.start_id(), now_ms);
+        }
         self.delete_verdicts(&sound.lifted, "an answer on the part was completed");
         sound.cleared
     }
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -6,7 +6,6 @@
 pub(crate) mod membership;
 mod partition_consumer;
 pub(crate) mod peer_exchange;
-pub(crate) mod poison_reports;
 pub(crate) mod shutdown;
 mod store_health;
 pub(crate) mod target_check;
--- a/crates/toucan_gateway/src/tasks/verdict_sync.rs
+++ b/crates/toucan_gateway/src/tasks/verdict_sync.rs
@@ -9,12 +9,12 @@
     Gateway, Platform,
     keyed_log::{AppendError, KeyedRecord, Partition, ReadRecord, Topic},
     poison::PoisonVerdict,
+    poison_reports::unix_ms,
     wire_format::PartId,
 };
 
 use super::{
     partition_consumer::{BatchKind, PartitionConsumer},
-    poison_reports::unix_ms,
     store_health::StoreHealth,
 };
 
@@ -128,7 +128,7 @@
     }
     gateway.accept_verdict(verdict);
     let state = &mut *gateway.state.borrow_mut();
-    if state.poison.trials(verdict.part) <= verdict.trials {
+    if state.poison.knows_no_more_than(verdict) {
         state.verdict_outbox.remove(verdict.part);
     }
 }
