Pause between reads of a topic to which nothing has been written

What callers saw: nothing yet. A store that answers at once for a topic without records was read without a pause: 15,818 times a second by one gateway in a test, of the 2,000 that all together may. The topic of verdicts has no records until a part is condemned; the configuration has none before its first version.

Cause: readers rely on the store to wait for a record, and an answer that the topic does not exist comes at once.

Evidence: topic_without_records_is_not_read_without_pause, with a stand-in store that answers so; at most 10 reads a second after.

Change: after an empty answer before its time a reader waits for 200 ms, at most until that time.

--- a/crates/toucan_gateway/src/tasks/partition_consumer.rs
+++ b/crates/toucan_gateway/src/tasks/partition_consumer.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use tokio::time::{Instant, sleep};
 use toucan_types::Offset;
 
 use crate::keyed_log::{KeyedLog, Partition, ReadBatch, ReadError, Topic};
 
+/// Pause after a read that returned nothing before its time.
+const EMPTY_READ_PAUSE: Duration = Duration::from_millis(200);
+
 /// Reads a snapshot of a partition and then the records appended after it.
 #[derive(Debug)]
 pub(crate) struct PartitionConsumer {
@@ -70,10 +74,17 @@
         if let Some(next) = self.next
             && !self.is_before_restore(log)
         {
-            match log.read_from(self.partition, next, wait).await {
+            let began = Instant::now();
+            let read = log.read_from(self.partition, next, wait).await;
+            let waited = began.elapsed();
+            match read {
                 // The offsets were given out again, so the records may follow others that are missing.
                 Ok(_batch) if self.is_before_restore(log) => {}
                 Ok(batch) => {
+                    if batch.records.is_empty() && waited < wait {
+                        // A topic to which nothing has been written answers without waiting.
+                        sleep(EMPTY_READ_PAUSE.min(wait - waited)).await;
+                    }
                     self.next = Some(batch.next);
                     return Ok(ConsumedBatch {
                         batch,
