Delete stored verdicts whose targets turn out to live

What callers saw: nothing yet. When a target that had been taken for ended wrote registrations again, the verdict was lifted in memory, and the task that reads registrations failed before the stored record was deleted; gateways that started later would have refused the part until its trial. Since tasks are watched it began anew after a second; before that it would have been gone for good.

Cause: the state was still borrowed when the deletion was scheduled. Found by reading the change again.

Evidence: verdict_falls_if_its_targets_go_on_to_register failed with 'RefCell already borrowed' and 'the verdict is still in the store'; it passes now. The other places that borrow the state before they call such a function were read; none holds it.

Ruled out: a fault of the table itself, whose tests passed.

--- a/crates/toucan_gateway/src/poison_reports.rs
+++ b/crates/toucan_gateway/src/poison_reports.rs
@@ -119,8 +119,10 @@
     /// Applies that a target has written a registration, so that it has not ended.
     pub(crate) fn record_registration(&self, instance: &TargetInstance) {
         let now_ms = self.now_ms();
-        let poison = &mut self.state.borrow_mut().poison;
-        let lifted = poison.record_registration(instance, now_ms);
+        let lifted = {
+            let poison = &mut self.state.borrow_mut().poison;
+            poison.record_registration(instance, now_ms)
+        };
         if !lifted.is_empty() {
             self.delete_verdicts(&lifted, "a target that had been taken for ended lives");
         }
