Read and log the limit on its calls that a target names

What was missing: nothing in logs, metrics or the state dump said that a target had named a limit, so it could not be told whether gateways do not know it or each keeps it alone. Change: the wire format decodes it, with a decision for each malformed value (negative, infinite, no number: ignored and counted; zero: one call in five seconds; several: the lowest); each change is logged once for each gateway; /state has the limit and its age. No decision uses it. An answer to another call, or of another process at the target's address (421), counts for nothing.

--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -5,7 +5,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::json;
 
-use crate::{Gateway, Platform, poison::join_parts};
+use crate::{Gateway, Platform, limits::CallRate, poison::join_parts};
 
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -46,6 +46,8 @@
                 "software_version": target.entry.software_version.as_str(),
                 "draining": target.entry.draining,
                 "is_leaving": target.is_leaving,
+                "limit_per_s": target.limit.rate().map(CallRate::per_s),
+                "limit_stated_ms_ago": target.limit.rate().map(|_rate| target.limit.age_ms(now_ms)),
                 "throttled_ms": target.throttled_until_ms.saturating_sub(now_ms),
                 "in_flight": target.in_flight,
                 "load": target.load(now_ms),
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod config;
 pub mod keyed_log;
+pub mod limits;
 pub mod peers;
 pub mod placement;
 pub mod poison;
@@ -27,6 +28,7 @@
 mod http_connection;
 mod inspection;
 mod launch;
+mod limit_reports;
 mod logging;
 mod platform;
 mod poison_reports;
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::{FastHashMap, SoftwareVersion};
 
-use crate::config::TargetEntry;
+use crate::{config::TargetEntry, limits::LimitRecord};
 
 use super::{FailureHistory, PromptCacheEstimate};
 
@@ -25,6 +25,8 @@
     pub is_leaving: bool,
     /// Time until which the target wants no calls from this VM.
     pub throttled_until_ms: u64,
+    /// Limit on the calls from all VMs together.
+    pub limit: LimitRecord,
     /// End of the grace period after deregistration; [`None`] while the target is registered.
     pub usable_until_ms: Option<u64>,
     /// Loads that other VMs reported, by the random identifier of the process's start.
@@ -56,6 +58,7 @@
             prompt_cache: PromptCacheEstimate::default(),
             is_leaving: false,
             throttled_until_ms: 0,
+            limit: LimitRecord::default(),
             usable_until_ms: None,
             peer_loads: FastHashMap::default(),
         }
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::{DataCentreName, FastHashMap, ServiceName, SoftwareVersion, TargetName};
 
-use crate::config::TargetEntry;
+use crate::{config::TargetEntry, limits::CallRate};
 
 use super::{CallOutcome, Reachability, TargetState};
 
@@ -129,6 +129,22 @@
         Some(target.throttled_until_ms)
     }
 
+    /// Records the limit on its calls that a target, in the start that began at `started_at_unix_ms`, has
+    /// named at `stated_at_ms`, or that it named none. Returns whether this changed the limit.
+    pub fn record_limit(
+        &mut self,
+        name: &TargetName,
+        started_at_unix_ms: u64,
+        rate: Option<CallRate>,
+        stated_at_ms: u64,
+    ) -> bool {
+        let Some(target) = self.by_name.get_mut(name) else {
+            return false;
+        };
+        target.entry.started_at_unix_ms == started_at_unix_ms
+            && target.limit.apply(rate, stated_at_ms)
+    }
+
     /// Returns the time until the first of a service's targets that run `software_version`, or any
     /// version if it is [`None`], takes calls again; [`None`] if one does not throttle or none is in
     /// service.
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     config::TargetEntry,
+    limits::StatedLimit,
     placement::CallOutcome,
     retries::SendFailure,
     wire_format::{ResponseHead, WireFormat},
@@ -55,6 +56,9 @@
     pub(crate) is_leaving: bool,
     /// Time for which it wants no calls from this VM.
     pub(crate) throttle: Option<Duration>,
+    /// What it states about a limit on its calls; [`None`] if the response is not its own answer to the
+    /// call.
+    pub(crate) limit: Option<StatedLimit>,
 }
 
 /// A response whose headers were received but whose body was not read to its end.
@@ -115,11 +119,15 @@
     })?;
     let (parts, body) = response.into_parts();
     let head = format.read_response(parts.status, &parts.headers);
+    let is_of_other_call = head.id.as_ref().is_some_and(|id| id != exchange.id);
+    // Another process at the target's address answers that it is the wrong one.
+    let is_of_target = !is_of_other_call && parts.status != StatusCode::MISDIRECTED_REQUEST;
     *exchange.notice = TargetNotice {
         is_leaving: head.is_leaving,
         throttle: head.throttle,
+        limit: is_of_target.then_some(head.limit),
     };
-    if head.id.as_ref().is_some_and(|id| id != exchange.id) {
+    if is_of_other_call {
         // A late response to an earlier call. Returning here drops the connection and with it
         // the rest of that response.
         log::warn!(target: "call", id = exchange.id.as_str(), name = exchange.target.name.as_str(); "the answer has the id of another call");
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -238,6 +238,9 @@
     if let Some(throttle) = notice.throttle {
         gateway.record_throttling_target(&target.name, target.started_at_unix_ms, throttle);
     }
+    if let Some(limit) = notice.limit {
+        gateway.record_stated_limit(&target.name, target.started_at_unix_ms, limit);
+    }
 }
 
 /// Returns the maximum wait for the response headers.
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -6,7 +6,10 @@
 use http::HeaderMap;
 use toucan_types::{Finding, OrganisationName, RequestId, TargetName, Tokens};
 
-use crate::config::{FleetConfig, TargetEntry};
+use crate::{
+    config::{FleetConfig, TargetEntry},
+    limits::StatedLimit,
+};
 
 /// Maximum number of parts of one call that are remembered, so that a caller cannot fill the memory.
 const MAX_SHARED_PARTS: usize = 64;
@@ -135,6 +138,8 @@
     pub is_leaving: bool,
     /// Time for which the target wants no calls from this VM; [`None`] if it does not throttle it.
     pub throttle: Option<Duration>,
+    /// What the target states about a limit on its calls from all gateways together.
+    pub limit: StatedLimit,
 }
 
 /// Formats of the deployment that the gateway runs in.
