Grant permits for the calls to a target that names a limit, from one gateway for all

What callers saw: nothing; a target in need that named 1 call a second for all gateways got 12 to 14 in 4 s, where 11 are allowed. Cause: the limit was not read, and nothing in the fleet could have kept it, since each gateway sees its own calls only. Class: distributed rate limiting, a limit that one receiver sets for all its senders together.

Change: one gateway, named for each target by rendezvous hashing, grants permits; each send takes one, whether the call is new, sent again or resumed. Gateways that take themselves for the grantor with another view of the fleet have small shares until the one before has stopped, so that all shares together stay below the limit with its tolerance without agreement.

One variant of a response is boxed, because the new field made it large for the linter.

--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -37,6 +37,11 @@
         /// Time until the first of them takes calls again, in milliseconds.
         return_ms: u64,
     },
+    /// all targets that could take the call have reached the limits that they name
+    TargetsLimited {
+        /// Time until there may be a permit for one of them, in milliseconds.
+        return_ms: u64,
+    },
     /// a part of the prompt ends the targets that begin to answer it
     PoisonPart {
         /// Time until a call with the part is tried again, in milliseconds.
@@ -80,6 +85,7 @@
             | Self::StreamOriginUnknown
             | Self::NoTargetOfVersion
             | Self::TargetsThrottling { .. }
+            | Self::TargetsLimited { .. }
             | Self::TargetFull
             | Self::Overloaded { .. }
             | Self::PoisonPart { .. }
@@ -106,6 +112,7 @@
             Self::TargetFull | Self::NoTarget => 250,
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
+            | Self::TargetsLimited { return_ms }
             | Self::PoisonPart { return_ms } => return_ms,
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
@@ -144,6 +151,7 @@
             Self::StreamOriginUnknown => "stream_origin_unknown",
             Self::NoTargetOfVersion => "no_target_of_version",
             Self::TargetsThrottling { .. } => "targets_throttling",
+            Self::TargetsLimited { .. } => "targets_limited",
             Self::Overloaded { .. } => "overloaded",
             Self::PoisonPart { .. } => "poison_part",
             Self::PartOnTrial => "part_on_trial",
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -48,6 +48,8 @@
     pub(crate) tokens_changed: Notify,
     /// Notifies calls that wait for the trial of a part.
     pub(crate) poison_changed: Notify,
+    /// Notifies calls that wait for permits.
+    pub(crate) permits_changed: Notify,
     /// Notified when the task that draws and reports tokens has failed.
     pub(crate) grants_failed: Notify,
     /// Wakes the task that writes verdicts on parts.
@@ -82,6 +84,7 @@
             origins_changed: Notify::new(),
             tokens_changed: Notify::new(),
             poison_changed: Notify::new(),
+            permits_changed: Notify::new(),
             verdicts_changed: Notify::new(),
             grants_failed: Notify::new(),
             sync_requested: Notify::new(),
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -47,6 +47,11 @@
                 "draining": target.entry.draining,
                 "is_leaving": target.is_leaving,
                 "limit_per_s": target.limit.rate().map(CallRate::per_s),
+                "limited_ms": target.limited_ms(now_ms),
+                "permit_share": target.limit.rate().map(|_rate| {
+                    let members = &state.members;
+                    members.permit_share(&target.entry.name, &gateway.location, now_ms)
+                }),
                 "limit_stated_ms_ago": target.limit.rate().map(|_rate| target.limit.age_ms(now_ms)),
                 "throttled_ms": target.throttled_until_ms.saturating_sub(now_ms),
                 "in_flight": target.in_flight,
--- a/crates/toucan_gateway/src/limit_reports.rs
+++ b/crates/toucan_gateway/src/limit_reports.rs
@@ -1,11 +1,19 @@
-//! Applies the limits that targets name.
+//! Applies the limits that targets name, and exchanges permits for the calls to them.
+
+use std::rc::Rc;
 
 use toucan_types::TargetName;
 
-use crate::{Gateway, Platform, limits::StatedLimit};
+use crate::{
+    Gateway, Platform,
+    config::TargetEntry,
+    limits::{CallRate, PermitRequest, PermitStep, StatedLimit},
+    peers::{PeerMessage, PermitAnswer, PermitQuery, ToldLimit},
+};
 
 impl<P: Platform> Gateway<P> {
-    /// Applies what a response of a target says about a limit on its calls.
+    /// Applies what a response of a target says about a limit on its calls, and tells the other gateways
+    /// if it was not known.
     pub(crate) fn record_stated_limit(
         &self,
         target: &TargetName,
@@ -21,19 +29,145 @@
                 return;
             }
         };
-        let now_ms = self.now_ms();
-        let is_changed = {
-            let targets = &mut self.state.borrow_mut().targets;
-            targets.record_limit(target, started_at_unix_ms, rate, now_ms)
+        let limit = ToldLimit {
+            target: target.clone(),
+            started_at_unix_ms,
+            rate,
+            stated_ms_ago: 0,
         };
-        if !is_changed {
+        if self.apply_limit(&limit) {
+            if let Some(rate) = rate {
+                metrics::counter!("toucan_limiting_targets_total").increment(1);
+                log::info!(target: "target", name = target.as_str(), per_s = rate.per_s(); "the target limits its calls");
+            } else {
+                log::info!(target: "target", name = target.as_str(); "the target no longer limits its calls");
+            }
+            self.tell_all(PeerMessage::TargetLimit(limit));
+        }
+    }
+
+    /// Applies the limit of a target that another gateway tells.
+    pub(crate) fn accept_limit(&self, limit: &ToldLimit) {
+        if self.apply_limit(limit) {
+            log::info!(
+                target: "target",
+                name = limit.target.as_str(),
+                per_s = limit.rate.map_or(0.0, CallRate::per_s),
+                stated_ms_ago = limit.stated_ms_ago;
+                "another gateway tells the limit of the target; 0 means that it has none"
+            );
+        }
+    }
+
+    /// Applies the limit of a target. Returns whether it changed.
+    fn apply_limit(&self, limit: &ToldLimit) -> bool {
+        let stated_at_ms = self.now_ms().saturating_sub(limit.stated_ms_ago);
+        let is_changed = self.state.borrow_mut().targets.record_limit(
+            &limit.target,
+            limit.started_at_unix_ms,
+            limit.rate.map(CallRate::in_range),
+            stated_at_ms,
+        );
+        if is_changed {
+            // Calls that wait for permits may need none any more.
+            self.permits_changed.notify_waiters();
+        }
+        is_changed
+    }
+
+    /// Returns the limit of a target as it is told to other gateways; [`None`] if the target is not known.
+    fn told_limit(&self, target: &TargetName) -> Option<ToldLimit> {
+        let now_ms = self.now_ms();
+        let state = self.state.borrow();
+        let known = state.targets.get(target)?;
+        Some(ToldLimit {
+            target: target.clone(),
+            started_at_unix_ms: known.entry.started_at_unix_ms,
+            rate: known.limit.rate(),
+            stated_ms_ago: known.limit.age_ms(now_ms),
+        })
+    }
+
+    /// Decides on a call that is to be sent to a target and can wait for `left_ms`.
+    pub(crate) fn next_permit_step(
+        &self,
+        target: &Rc<TargetEntry>,
+        left_ms: u64,
+        now_ms: u64,
+    ) -> PermitStep {
+        let mut state = self.state.borrow_mut();
+        match state.targets.get_mut(&target.name) {
+            Some(known) if known.limit.rate().is_some() => known.permits.next_step(left_ms, now_ms),
+            _ => PermitStep::Send,
+        }
+    }
+
+    /// Asks the gateway that grants permits for a target, and its deputy if it has not answered in time.
+    pub(crate) fn ask_permits(&self, target: &Rc<TargetEntry>, request: PermitRequest) {
+        let Some(limit) = self.told_limit(&target.name) else {
             return;
+        };
+        let query = PermitQuery {
+            limit,
+            id: request.id,
+            permits: request.permits,
+        };
+        let now_ms = self.now_ms();
+        let mut granters = {
+            let members = &self.state.borrow().members;
+            members.permit_granters(&target.name, &self.location, now_ms)
+        };
+        if !request.is_repeated {
+            granters.truncate(1);
+        }
+        for vm in granters {
+            if vm != self.location.vm {
+                let message = PeerMessage::AskPermits(query.clone());
+                self.send_to_peers(std::iter::once(&vm), message);
+            } else if let Some(answer) = self.answer_permit_query(&query) {
+                self.accept_permits(&answer);
+            }
         }
-        if let Some(rate) = rate {
-            metrics::counter!("toucan_limiting_targets_total").increment(1);
-            log::info!(target: "target", name = target.as_str(), per_s = rate.per_s(); "the target limits its calls");
-        } else {
-            log::info!(target: "target", name = target.as_str(); "the target no longer limits its calls");
+    }
+
+    /// Answers a request for permits; [`None`] if the target is not known here.
+    pub(crate) fn answer_permit_query(&self, query: &PermitQuery) -> Option<PermitAnswer> {
+        self.accept_limit(&query.limit);
+        let target = &query.limit.target;
+        let limit = self.told_limit(target)?;
+        let now_ms = self.now_ms();
+        let granted = {
+            let state = &mut *self.state.borrow_mut();
+            state.grant_permits(target, &self.location, query.permits, now_ms)
+        };
+        let grant = granted.unwrap_or_default();
+        log::debug!(
+            target: "target",
+            name = target.as_str(),
+            asked = query.permits,
+            granted = grant.permits,
+            return_ms = grant.return_ms;
+            "permits for calls to the target were asked for"
+        );
+        Some(PermitAnswer {
+            limit,
+            id: query.id,
+            grant,
+        })
+    }
+
+    /// Applies the answer to a request for permits.
+    pub(crate) fn accept_permits(&self, answer: &PermitAnswer) {
+        self.accept_limit(&answer.limit);
+        let now_ms = self.now_ms();
+        if let Some(known) = self
+            .state
+            .borrow_mut()
+            .targets
+            .get_mut(&answer.limit.target)
+        {
+            known.permits.accept(answer.id, answer.grant, now_ms);
         }
+        self.permits_changed.notify_waiters();
     }
 }
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -8,7 +8,7 @@
     wire_format::PartId,
 };
 
-use super::{EndedTarget, TransferId};
+use super::{EndedTarget, PermitAnswer, PermitQuery, ToldLimit, TransferId};
 
 /// Length of the message authentication code at the start of a datagram.
 const MAC_BYTES: usize = 16;
@@ -82,6 +82,12 @@
         /// Unix time of the target's start.
         started_at_unix_ms: u64,
     },
+    /// Tells that a target has named a limit on its calls, or names it no longer.
+    TargetLimit(ToldLimit),
+    /// Requests permits for calls to a target with a limit.
+    AskPermits(PermitQuery),
+    /// Grants permits, or none, for calls to a target.
+    Permits(PermitAnswer),
     /// Tells that a target has ended, with the calls that may have ended it.
     TargetEnded(EndedTarget),
     /// Tells that an answer was completed on parts that were suspected to end targets.
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -6,15 +6,15 @@
 
 use crate::{binary_format, budget::PeerRecovery};
 
-use super::GatewayLocation;
+use super::{GatewayLocation, permit_share::MajorityWatch};
 
 /// Time after its last datagram or its registration for which a gateway counts as live.
-const LIVENESS_TIMEOUT_MS: u64 = 5_000;
+pub(super) const LIVENESS_TIMEOUT_MS: u64 = 5_000;
 /// Time since its last datagram for which a gateway may hold tokens that a restored store lost.
 const RECOVERING_MS: u64 = 20_000;
 /// Time since its last datagram after which a gateway no longer counts at all. VMs that were
 /// replaced stay registered and would otherwise keep a share of the fleet's limits forever.
-const MEMBER_EXPIRY_MS: u64 = 600_000;
+pub(super) const MEMBER_EXPIRY_MS: u64 = 600_000;
 
 /// The registration of a gateway in the store.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -70,6 +70,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     by_vm: FastHashMap<VmName, Member>,
+    pub(super) majority: MajorityWatch,
 }
 
 impl Members {
@@ -152,10 +153,7 @@
 
     /// Returns the other gateways that [`Self::process_count`] counts.
     pub(crate) fn counted(&self, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
-        let registered = 1 + self.seen_within(MEMBER_EXPIRY_MS, now_ms).count();
-        let live = 1 + self.seen_within(LIVENESS_TIMEOUT_MS, now_ms).count();
-        let hears_majority = live * 2 > registered;
-        let max_age_ms = if hears_majority {
+        let max_age_ms = if self.hears_majority(now_ms) {
             LIVENESS_TIMEOUT_MS
         } else {
             MEMBER_EXPIRY_MS
@@ -163,7 +161,18 @@
         self.seen_within(max_age_ms, now_ms)
     }
 
-    fn seen_within(&self, age_ms: u64, now_ms: u64) -> impl Iterator<Item = (&VmName, &Member)> {
+    /// Returns whether this gateway hears from a majority of all gateways, itself included.
+    pub(super) fn hears_majority(&self, now_ms: u64) -> bool {
+        let registered = 1 + self.seen_within(MEMBER_EXPIRY_MS, now_ms).count();
+        let live = 1 + self.seen_within(LIVENESS_TIMEOUT_MS, now_ms).count();
+        live * 2 > registered
+    }
+
+    pub(super) fn seen_within(
+        &self,
+        age_ms: u64,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&VmName, &Member)> {
         self.by_vm
             .iter()
             .filter(move |(_vm, member)| now_ms.saturating_sub(member.last_seen_ms) <= age_ms)
--- a/crates/toucan_gateway/src/peers/mod.rs
+++ b/crates/toucan_gateway/src/peers/mod.rs
@@ -1,5 +1,5 @@
-//! Communication with other gateways: membership, loads at targets, loans and transfers of tokens,
-//! and where streams began.
+//! Communication with other gateways: membership, loads at targets, permits for calls to targets with a
+//! limit, loans and transfers of tokens, and where streams began.
 //!
 //! Each message is a single datagram and can be lost. Loads are sent periodically. Tokens leave the
 //! sender's wallet before they are sent, and loans and transfers have ids, so a lost or repeated
@@ -11,6 +11,8 @@
 mod lending;
 mod member;
 mod origin_replicas;
+mod permit_messages;
+mod permit_share;
 mod transfers;
 
 pub use datagram::{Datagram, DatagramError, LoanId, PeerMessage, TargetCalls};
@@ -18,4 +20,5 @@
 pub use holders::GatewayLocation;
 pub use lending::{Lending, loan_size};
 pub use member::{Member, MemberEntry, Members};
+pub use permit_messages::{PermitAnswer, PermitQuery, ToldLimit};
 pub use transfers::{PendingTransfer, TransferId, Transfers};
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -74,6 +74,8 @@
     pub software_version: Option<&'a SoftwareVersion>,
     /// Targets that the call has already been tried at.
     pub tried: &'a [TargetName],
+    /// Targets that have granted no permit for the call.
+    pub denied: &'a [TargetName],
     /// Maximum number of calls that this VM may have in flight at one target.
     pub max_in_flight: u32,
     /// Uniformly distributed number that breaks ties.
@@ -97,6 +99,7 @@
         .filter(|target| target.accepts_calls(now_ms))
         .filter(|target| target.has_version(request.software_version))
         .filter(|target| !request.tried.contains(&target.entry.name))
+        .filter(|target| !request.denied.contains(&target.entry.name))
         .filter(|target| target.in_flight < request.max_in_flight)
         .collect();
     let any_healthy = candidates
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -16,4 +16,4 @@
 pub use prompt_cache_estimate::PromptCacheEstimate;
 pub use reachability::Reachability;
 pub use target_state::TargetState;
-pub use target_table::{Avoided, TargetChange, TargetTable};
+pub use target_table::{Avoided, Pause, TargetChange, TargetTable};
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -4,7 +4,10 @@
 
 use toucan_types::{FastHashMap, SoftwareVersion};
 
-use crate::{config::TargetEntry, limits::LimitRecord};
+use crate::{
+    config::TargetEntry,
+    limits::{LimitRecord, Permits},
+};
 
 use super::{FailureHistory, PromptCacheEstimate};
 
@@ -27,6 +30,8 @@
     pub throttled_until_ms: u64,
     /// Limit on the calls from all VMs together.
     pub limit: LimitRecord,
+    /// Permits of this VM for calls to the target while it has a limit.
+    pub permits: Permits,
     /// End of the grace period after deregistration; [`None`] while the target is registered.
     pub usable_until_ms: Option<u64>,
     /// Loads that other VMs reported, by the random identifier of the process's start.
@@ -59,6 +64,7 @@
             is_leaving: false,
             throttled_until_ms: 0,
             limit: LimitRecord::default(),
+            permits: Permits::default(),
             usable_until_ms: None,
             peer_loads: FastHashMap::default(),
         }
@@ -86,7 +92,23 @@
     /// Returns whether new calls may be sent to the target now.
     #[must_use]
     pub fn accepts_calls(&self, now_ms: u64) -> bool {
-        self.is_in_service(now_ms) && now_ms >= self.throttled_until_ms
+        self.is_in_service(now_ms) && self.pause_ms(now_ms) == 0
+    }
+
+    /// Returns the time until the target takes calls of this VM, as far as throttling and its limit are
+    /// concerned.
+    #[must_use]
+    pub fn pause_ms(&self, now_ms: u64) -> u64 {
+        let throttled_ms = self.throttled_until_ms.saturating_sub(now_ms);
+        throttled_ms.max(self.limited_ms(now_ms))
+    }
+
+    /// Returns the time until there may be a permit for a call to the target.
+    #[must_use]
+    pub fn limited_ms(&self, now_ms: u64) -> u64 {
+        self.limit
+            .rate()
+            .map_or(0, |_rate| self.permits.denied_ms(now_ms))
     }
 
     /// Sets another VM's load: its calls in flight here, and their unprocessed prompt tokens.
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -15,6 +15,18 @@
 /// Longest time by which the end of throttling is spread.
 const MAX_SPREAD_MS: u64 = 1_000;
 
+/// Shortest pause of a target that has granted no permit for a call.
+const MIN_DENIED_PAUSE_MS: u64 = 50;
+
+/// Time for which a target takes no calls of this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pause {
+    /// Time until it may take calls.
+    pub return_ms: u64,
+    /// Whether its limit is a reason.
+    pub is_limit: bool,
+}
+
 /// What a registration changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetChange {
@@ -145,23 +157,32 @@
             && target.limit.apply(rate, stated_at_ms)
     }
 
-    /// Returns the time until the first of a service's targets that run `software_version`, or any
-    /// version if it is [`None`], takes calls again; [`None`] if one does not throttle or none is in
-    /// service.
+    /// Returns the pause until the first of a service's targets that run `software_version`, or any
+    /// version if it is [`None`], takes calls again; [`None`] if one takes them now or none is in service.
+    ///
+    /// Targets in `denied` have just granted no permit for a call.
     #[must_use]
-    pub fn shortest_throttle_ms(
+    pub fn shortest_pause(
         &self,
         service: &ServiceName,
         software_version: Option<&SoftwareVersion>,
+        denied: &[TargetName],
         now_ms: u64,
-    ) -> Option<u64> {
-        let throttle_ms = self
+    ) -> Option<Pause> {
+        let pause = self
             .of_service(service)
             .filter(|target| target.is_in_service(now_ms))
             .filter(|target| target.has_version(software_version))
-            .map(|target| target.throttled_until_ms.saturating_sub(now_ms))
-            .min()?;
-        (throttle_ms > 0).then_some(throttle_ms)
+            .map(|target| {
+                let is_denied = denied.contains(&target.entry.name);
+                let min_ms = if is_denied { MIN_DENIED_PAUSE_MS } else { 0 };
+                Pause {
+                    return_ms: target.pause_ms(now_ms).max(min_ms),
+                    is_limit: is_denied || target.limited_ms(now_ms) > 0,
+                }
+            })
+            .min_by_key(|pause| pause.return_ms)?;
+        (pause.return_ms > 0).then_some(pause)
     }
 
     /// Returns whether a target or its data centre is in backoff.
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -51,6 +51,10 @@
     pub(crate) origin: Option<StreamOrigin>,
     /// Targets that failed the call.
     pub(crate) tried: Vec<TargetName>,
+    /// Targets whose limit left no permit for the call.
+    pub(crate) denied: Vec<TargetName>,
+    /// Time for which the call may still wait for permits.
+    pub(crate) permit_wait_ms: u64,
     /// Number of attempts, and whether one of them may have run the call.
     pub(crate) progress: CallProgress,
 }
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -6,12 +6,12 @@
     Gateway, Platform, Refusal,
     config::TargetEntry,
     placement::{
-        ChoiceRequest, ChoiceSettings, TargetTable, choose_target, overload_retry_after_ms,
+        ChoiceRequest, ChoiceSettings, Pause, TargetTable, choose_target, overload_retry_after_ms,
     },
     retries::{CallProgress, connection_share},
 };
 
-use super::{call::Call, read_call::hash_id};
+use super::{call::Call, read_call::hash_id, send::Refused};
 
 /// Maximum number of connections to a target, from all VMs, if the configuration sets none.
 const DEFAULT_MAX_CONNECTIONS: u32 = 256;
@@ -30,6 +30,7 @@
         data_centre: &gateway.settings.data_centre,
         software_version: call.origin.as_ref().map(|origin| &origin.software_version),
         tried: &call.tried,
+        denied: &call.denied,
         max_in_flight: max_connections,
         tie_break_seed: hash_id(&call.id),
     };
@@ -75,11 +76,11 @@
     let now_ms = gateway.now_ms();
     let state = gateway.state.borrow();
     let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
-    let throttle_ms = state
+    let pause = state
         .targets
-        .shortest_throttle_ms(&call.service, software_version, now_ms);
-    if let Some(return_ms) = throttle_ms {
-        return Refusal::TargetsThrottling { return_ms };
+        .shortest_pause(&call.service, software_version, &call.denied, now_ms);
+    if let Some(pause) = pause {
+        return refusal_of_pause(pause);
     }
     match call.progress {
         CallProgress { sends: 0, .. } if is_version_gone(&state.targets, call, now_ms) => {
@@ -90,6 +91,33 @@
     }
 }
 
+/// Refuses a call at once if each target that could take it throttles this VM or has reached its limit.
+pub(crate) fn refuse_during_pause<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+) -> Result<(), Refused> {
+    let now_ms = gateway.now_ms();
+    let state = gateway.state.borrow();
+    let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
+    let targets = &state.targets;
+    match targets.shortest_pause(&call.service, software_version, &[], now_ms) {
+        Some(pause) => Err((refusal_of_pause(pause), "no target takes calls now")),
+        None => Ok(()),
+    }
+}
+
+const fn refusal_of_pause(pause: Pause) -> Refusal {
+    let Pause {
+        return_ms,
+        is_limit,
+    } = pause;
+    if is_limit {
+        Refusal::TargetsLimited { return_ms }
+    } else {
+        Refusal::TargetsThrottling { return_ms }
+    }
+}
+
 /// Returns whether the call resumes a stream and no target runs the version that began it.
 fn is_version_gone(targets: &TargetTable, call: &Call, now_ms: u64) -> bool {
     let Some(origin) = &call.origin else {
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -9,6 +9,7 @@
 mod exchange;
 pub(crate) mod http_listener;
 mod part_trial;
+mod permit_wait;
 mod read_call;
 mod relay;
 mod reserve_tokens;
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -24,6 +24,9 @@
 /// Timeout of callers that send none.
 const DEFAULT_CALLER_TIMEOUT_MS: u64 = 30_000;
 
+/// Longest time for which a call waits for permits to send it to targets with a limit.
+const MAX_PERMIT_WAIT_MS: u64 = 150;
+
 /// Reads and authenticates a request, and records its id, route and organisation in `tracker` for
 /// the log.
 pub(crate) async fn read_call<P: Platform>(
@@ -78,6 +81,8 @@
         head,
         origin: None,
         tried: Vec::new(),
+        denied: Vec::new(),
+        permit_wait_ms: MAX_PERMIT_WAIT_MS,
         progress: CallProgress::default(),
     })
 }
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -23,6 +23,7 @@
     collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     part_trial::check_parts,
+    permit_wait::take_permit,
 };
 
 /// A usable response of a target.
@@ -89,6 +90,10 @@
             return Err((Refusal::Overloaded { return_ms }, "the engines are behind"));
         }
         let target = &chosen.entry;
+        if !take_permit(gateway, call, target).await {
+            call.denied.push(target.name.clone());
+            continue;
+        }
         let failure = match send_once(gateway, call, tracker, &chosen, last_event_id).await {
             Ok(received) => return Ok(received),
             Err(failure) => failure,
@@ -204,7 +209,7 @@
             tracker.log.first_event_ms = gateway.now_ms().saturating_sub(now_ms);
             in_flight_call.record_first_event();
             let events = EventResponse {
-                response,
+                response: *response,
                 first,
                 origin: StreamOrigin {
                     service: target.service.clone(),
@@ -260,7 +265,7 @@
 
 enum ReadResponse {
     Full(FullResponse),
-    Events(OpenResponse, Bytes),
+    Events(Box<OpenResponse>, Bytes),
 }
 
 async fn read_response<P: Platform>(
@@ -280,7 +285,7 @@
     if call.route.kind.is_streaming() && response.status.is_success() {
         let first = timeout(left, next_bytes(&mut response.body)).await;
         return match first.map_err(|_elapsed| silent)? {
-            Some(Ok(first)) => Ok(ReadResponse::Events(response, first)),
+            Some(Ok(first)) => Ok(ReadResponse::Events(Box::new(response), first)),
             Some(Err(error)) => {
                 let outcome = CallOutcome::of_connection_error(&error);
                 Err(SendFailure::MayHaveRun(outcome))
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 
 use toucan_router::RetryBudget;
-use toucan_types::{FastHashMap, OrganisationName, ServiceName, Tokens};
+use toucan_types::{FastHashMap, OrganisationName, ServiceName, TargetName, Tokens};
 
 use crate::{
     budget::{RestoreGate, Wallet},
     config::FleetConfig,
+    limits::{PermitGrant, PermitGranter},
     peers::{GatewayLocation, Members},
     placement::TargetTable,
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
@@ -35,6 +36,8 @@
     pub(crate) target_versions: VersionHistory,
     /// Where recent streams began.
     pub(crate) stream_origins: OriginTable,
+    /// Permits that this gateway grants for calls to targets with a limit.
+    pub(crate) permit_granter: PermitGranter,
     /// Calls whose connections broke, until it is known whether their targets have ended.
     pub(crate) broken_calls: BrokenCalls,
     /// Parts of prompts that may end targets.
@@ -179,6 +182,37 @@
         self.restore_gate.update(recoveries, now_ms)
     }
 
+    /// Notes which gateways are heard from, and forgets the permits for targets without a limit.
+    pub(crate) fn observe_members(&mut self, now_ms: u64) {
+        if self.members_loaded {
+            self.members.observe(now_ms);
+        }
+        let targets = &self.targets;
+        self.permit_granter.retain(|target| {
+            let target = targets.get(target);
+            target.is_some_and(|target| target.limit.rate().is_some())
+        });
+    }
+
+    /// Grants up to `wanted` permits for calls to a target, as far as this gateway may. [`None`] if the
+    /// target is not known or names no limit.
+    pub(crate) fn grant_permits(
+        &mut self,
+        target: &TargetName,
+        location: &GatewayLocation,
+        wanted: u32,
+        now_ms: u64,
+    ) -> Option<PermitGrant> {
+        let rate = self.targets.get(target)?.limit.rate()?;
+        let share = if self.members_loaded {
+            self.members.permit_share(target, location, now_ms)
+        } else {
+            0.0
+        };
+        let granter = &mut self.permit_granter;
+        Some(granter.grant(target, rate, share, wanted, now_ms))
+    }
+
     /// Returns whether this gateway holds tokens of an organisation for its data centre.
     pub(crate) fn is_holder(
         &self,
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -49,6 +49,7 @@
 pub(crate) async fn broadcast_load<P: Platform>(gateway: Rc<Gateway<P>>) {
     loop {
         let now_ms = gateway.now_ms();
+        gateway.state.borrow_mut().observe_members(now_ms);
         let gateways = u64::from(gateway.state.borrow().members.process_count(now_ms));
         let interval_ms = MIN_LOAD_INTERVAL_MS.max(LOAD_INTERVAL_PER_GATEWAY_MS * gateways);
         tokio::time::sleep(Duration::from_millis(interval_ms)).await;
@@ -210,6 +211,14 @@
             let answer = PeerMessage::StreamOrigin { attempt, origin };
             gateway.send_to_peers(std::iter::once(&datagram.vm), answer);
         }
+        PeerMessage::TargetLimit(limit) => gateway.accept_limit(&limit),
+        PeerMessage::AskPermits(query) => {
+            if let Some(answer) = gateway.answer_permit_query(&query) {
+                let message = PeerMessage::Permits(answer);
+                gateway.send_to_peers(std::iter::once(&datagram.vm), message);
+            }
+        }
+        PeerMessage::Permits(answer) => gateway.accept_permits(&answer),
         PeerMessage::Recovery(recovery) => {
             if let Some(member) = gateway.state.borrow_mut().members.get_mut(&datagram.vm) {
                 member.recovery = recovery;
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -6,7 +6,7 @@
 use toucan_gateway::{
     config::{EngineSettings, TargetEntry},
     placement::{
-        CallOutcome, ChoiceRequest, ChoiceSettings, DeregistrationGrace, FailureHistory,
+        CallOutcome, ChoiceRequest, ChoiceSettings, DeregistrationGrace, FailureHistory, Pause,
         TargetChange, TargetState, TargetTable, choose_target,
     },
     wire_format::{PartId, PromptPart},
@@ -70,6 +70,7 @@
         data_centre: &data_centre,
         software_version: None,
         tried,
+        denied: &[],
         max_in_flight: 100,
         tie_break_seed,
     };
@@ -173,13 +174,17 @@
     let chosen = choose(&table, &prompt(1), &[], 1, 500).expect("t1 does not throttle");
     assert_eq!(chosen.entry.name.as_str(), "t1");
     assert_eq!(
-        table.shortest_throttle_ms(service, None, 500),
+        table.shortest_pause(service, None, &[], 500),
         None,
         "t1 does not throttle"
     );
     table.record_throttle(&TargetName::from("t1"), 1, 2 * throttle, 0, 0);
     assert!(choose(&table, &prompt(1), &[], 1, 999).is_none());
-    assert_eq!(table.shortest_throttle_ms(service, None, 400), Some(600));
+    let pause = Pause {
+        return_ms: 600,
+        is_limit: false,
+    };
+    assert_eq!(table.shortest_pause(service, None, &[], 400), Some(pause));
     assert!(choose(&table, &prompt(1), &[], 1, 1_000).is_some());
     table.register(entry("t1", 2));
     assert!(
