Log a digest of each call that its target broke off, and check whether each such target has ended

What was missing: the logs named the calls of an ended target by the parts of their prompts only; a target that held no call with parts was not checked at all; and nothing showed that a call was one that had come before, since each attempt has another id. No decision uses it. Bodies and keys are not logged.

--- a/crates/toucan_gateway/src/poison/mod.rs
+++ b/crates/toucan_gateway/src/poison/mod.rs
@@ -5,6 +5,7 @@
 //! another one.
 
 mod broken_calls;
+mod call_digest;
 mod poison_table;
 mod poison_verdict;
 mod suspicion;
@@ -12,6 +13,7 @@
 mod verdict_outbox;
 
 pub use broken_calls::BrokenCalls;
+pub use call_digest::{CallDigest, CallIdentity};
 pub use poison_table::{PartCheck, PoisonTable, SoundParts};
 pub use poison_verdict::PoisonVerdict;
 pub use suspicion::{ENDS_TO_CONDEMN, ENDS_TO_RESTRICT};
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -1,9 +1,9 @@
 //! State of a call in progress.
 
-use std::rc::Rc;
+use std::{cell::OnceCell, rc::Rc};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Uri};
+use http::{HeaderMap, Method, Request, Uri, header, uri::PathAndQuery};
 use http_body_util::Full;
 use toucan_types::{OrganisationName, RequestId, ServiceName, TargetName, Tokens};
 
@@ -11,7 +11,7 @@
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     placement::CallOutcome,
-    poison::SuspectCall,
+    poison::{CallDigest, CallIdentity, SuspectCall},
     retries::{CallProgress, SendFailure},
     streams::StreamOrigin,
     tasks::target_check::record_broken_call,
@@ -55,6 +55,8 @@
     pub(crate) denied: Vec<TargetName>,
     /// Time for which the call may still wait for permits.
     pub(crate) permit_wait_ms: u64,
+    /// Digest by which the call is recognised when it comes again, once it is needed.
+    pub(crate) digest: OnceCell<CallDigest>,
     /// Number of attempts, and whether one of them may have run the call.
     pub(crate) progress: CallProgress,
 }
@@ -83,6 +85,22 @@
         self.tried.push(target.clone());
     }
 
+    /// Returns the digest by which the call is recognised when it comes again.
+    pub(crate) fn digest(&self) -> CallDigest {
+        *self.digest.get_or_init(|| {
+            let host = self.headers.get(header::HOST);
+            let host = host.and_then(|host| host.to_str().ok());
+            let identity = CallIdentity {
+                organisation: self.organisation.as_ref().map_or("", |o| o.name.as_str()),
+                method: self.method.as_str(),
+                host: host.or_else(|| self.uri.host()).unwrap_or_default(),
+                path: self.uri.path_and_query().map_or("", PathAndQuery::as_str),
+                body: &self.body,
+            };
+            identity.digest()
+        })
+    }
+
     /// Returns the configuration of the call's service.
     pub(crate) fn service_settings(&self) -> Option<&Rc<Service>> {
         self.config.services.get(&self.service)
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -1,6 +1,6 @@
 //! Reads and authenticates a caller's request.
 
-use std::rc::Rc;
+use std::{cell::OnceCell, rc::Rc};
 
 use bytes::Bytes;
 use http::{Request, header, request::Parts};
@@ -82,6 +82,7 @@
         origin: None,
         tried: Vec::new(),
         denied: Vec::new(),
+        digest: OnceCell::new(),
         permit_wait_ms: MAX_PERMIT_WAIT_MS,
         progress: CallProgress::default(),
     })
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -105,6 +105,7 @@
                     log::info!(
                         target: "call",
                         id = call.id.as_str(),
+                        digest:% = call.digest(),
                         name = target.as_str(),
                         events = splitter.events();
                         "a stream broke off"
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
-use toucan_types::{RequestId, ServiceName};
+use toucan_types::ServiceName;
 
 use crate::{
     Gateway, Platform, Refusal,
@@ -109,7 +109,7 @@
             route.max_targets,
             left_ms,
         );
-        log_failure(&call.id, target, failure, step, left_ms);
+        log_failure(call, target, failure, step, left_ms);
         match step {
             NextStep::TryUnsent => {}
             NextStep::SendAgainOr(refusal) => {
@@ -139,16 +139,19 @@
 }
 
 fn log_failure(
-    id: &RequestId,
+    call: &Call,
     target: &TargetEntry,
     failure: SendFailure,
     step: NextStep,
     left_ms: u64,
 ) {
     metrics::counter!("toucan_failed_sends_total").increment(1);
+    let is_broken = failure == SendFailure::MayHaveRun(CallOutcome::Broken);
+    let digest = is_broken.then(|| call.digest().to_string());
     log::info!(
         target: "call",
-        id = id.as_str(),
+        id = call.id.as_str(),
+        digest = digest.unwrap_or_default().as_str(),
         name = target.name.as_str(),
         failure:? = failure,
         step:? = step,
--- a/crates/toucan_gateway/src/tasks/target_check.rs
+++ b/crates/toucan_gateway/src/tasks/target_check.rs
@@ -23,9 +23,6 @@
     call: SuspectCall,
     first_event_ms: Option<u64>,
 ) {
-    if call.shared_parts.is_empty() {
-        return;
-    }
     let now_ms = gateway.now_ms();
     let instance = target.instance();
     let is_first =
