--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -42,13 +42,13 @@
         /// Time until there may be a permit for one of them, in milliseconds.
         return_ms: u64,
     },
-    /// a part of the prompt ends the targets that begin to answer it
-    PoisonPart {
-        /// Time until a call with the part is tried again, in milliseconds.
+    /// such calls end the targets that begin to answer them
+    PoisonCall {
+        /// Time until such a call is tried again, in milliseconds.
         return_ms: u64,
     },
-    /// it is being found out whether a part of the prompt ends targets
-    PartOnTrial,
+    /// it is being found out whether such calls end targets
+    OnTrial,
     /// the engines are behind, and the call would be late
     Overloaded {
         /// Time until the backlog is expected to be gone, in milliseconds.
@@ -88,8 +88,8 @@
             | Self::TargetsLimited { .. }
             | Self::TargetFull
             | Self::Overloaded { .. }
-            | Self::PoisonPart { .. }
-            | Self::PartOnTrial
+            | Self::PoisonCall { .. }
+            | Self::OnTrial
             | Self::TooLate
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
@@ -113,10 +113,10 @@
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
             | Self::TargetsLimited { return_ms }
-            | Self::PoisonPart { return_ms } => return_ms,
+            | Self::PoisonCall { return_ms } => return_ms,
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
-            Self::BudgetNotReachable | Self::PartOnTrial => 1_000,
+            Self::BudgetNotReachable | Self::OnTrial => 1_000,
             // Tokens become available only when other calls cost less than they reserved, or after
             // a top-up.
             Self::BudgetInUse => 5_000,
@@ -130,7 +130,7 @@
     pub const fn is_retry_after_exact(self) -> bool {
         matches!(
             self,
-            Self::TargetsThrottling { .. } | Self::PoisonPart { .. }
+            Self::TargetsThrottling { .. } | Self::PoisonCall { .. }
         )
     }
 
@@ -153,8 +153,8 @@
             Self::TargetsThrottling { .. } => "targets_throttling",
             Self::TargetsLimited { .. } => "targets_limited",
             Self::Overloaded { .. } => "overloaded",
-            Self::PoisonPart { .. } => "poison_part",
-            Self::PartOnTrial => "part_on_trial",
+            Self::PoisonCall { .. } => "poison_call",
+            Self::OnTrial => "on_trial",
             Self::TargetFull => "target_full",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -5,7 +5,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::json;
 
-use crate::{Gateway, Platform, limits::CallRate, poison::join_parts};
+use crate::{Gateway, Platform, limits::CallRate, poison::join_fingerprints};
 
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -78,18 +78,18 @@
             })
         })
         .collect();
-    let condemned_parts: Vec<_> = state
+    let condemned: Vec<_> = state
         .poison
         .condemned()
-        .filter_map(|part| state.poison.verdict(part, 0))
+        .filter_map(|fingerprint| state.poison.verdict(fingerprint, 0))
         .map(|verdict| {
             json!({
-                "part": verdict.part.to_string(),
-                "only_with": join_parts(&verdict.companions),
+                "fingerprint": verdict.fingerprint.to_string(),
+                "only_with": join_fingerprints(&verdict.companions),
                 "ended_targets": verdict.ended_targets,
                 "trials": verdict.trials,
-                "refused_calls": state.poison.refused_calls(verdict.part),
-                "return_ms": state.poison.return_ms(verdict.part, now_ms),
+                "refused_calls": state.poison.refused_calls(verdict.fingerprint),
+                "return_ms": state.poison.return_ms(verdict.fingerprint, now_ms),
             })
         })
         .collect();
@@ -102,8 +102,8 @@
         "may_draw": may_draw,
         "remembered_streams": state.stream_origins.len(),
         "target_connections": gateway.pool.total_open(),
-        "suspected_parts": state.poison.len(),
-        "condemned_parts": condemned_parts,
+        "suspected": state.poison.len(),
+        "condemned": condemned,
         "targets": targets,
         "budgets": budgets,
     })
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -4,8 +4,10 @@
 use toucan_types::{OrganisationName, RequestId, TargetName, Tokens, VmName};
 
 use crate::{
-    binary_format, budget::PeerRecovery, poison::PoisonVerdict, streams::StreamOrigin,
-    wire_format::PartId,
+    binary_format,
+    budget::PeerRecovery,
+    poison::{Fingerprint, PoisonVerdict},
+    streams::StreamOrigin,
 };
 
 use super::{EndedTarget, PermitAnswer, PermitQuery, ToldLimit, TransferId};
@@ -90,17 +92,17 @@
     Permits(PermitAnswer),
     /// Tells that a target has ended, with the calls that may have ended it.
     TargetEnded(EndedTarget),
-    /// Tells that an answer was completed on parts that were suspected to end targets.
-    PartsSound(Vec<PartId>),
-    /// Tells that a call is sent to find out whether parts end targets, or that this is over.
-    PartTrial {
-        /// Parts that are on trial.
-        parts: Vec<PartId>,
+    /// Tells that an answer was completed to a call with fingerprints that were suspected.
+    Sound(Vec<Fingerprint>),
+    /// Tells that a call is sent to find out whether it ends targets, or that this is over.
+    PoisonTrial {
+        /// Fingerprints that are on trial.
+        fingerprints: Vec<Fingerprint>,
         /// Whether the trial begins.
         has_begun: bool,
     },
-    /// Tells that a part ends targets.
-    PartCondemned(PoisonVerdict),
+    /// Tells that calls with a fingerprint end targets.
+    Condemned(PoisonVerdict),
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/peers/ended_target.rs
+++ b/crates/toucan_gateway/src/peers/ended_target.rs
@@ -1,12 +1,9 @@
 //! The end of a target, as one gateway tells it to others.
 
-use crate::{
-    poison::{SuspectCall, TargetEnd, TargetInstance},
-    wire_format::PartId,
-};
+use crate::poison::{Fingerprint, SuspectCall, TargetEnd, TargetInstance};
 
-/// Maximum number of parts in one datagram, so that it fits into one packet.
-const MAX_PARTS_PER_DATAGRAM: usize = 96;
+/// Maximum number of fingerprints in one datagram, so that it fits into one packet.
+const MAX_FINGERPRINTS_PER_DATAGRAM: usize = 96;
 
 /// The end of a target. Times are ages, because the clocks of two VMs differ.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -22,8 +19,8 @@
 /// A call that may have ended a target.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PeerSuspect {
-    /// Parts of its prompt that other calls may have too.
-    pub shared_parts: Vec<PartId>,
+    /// Fingerprints of its prompt that other calls may have too.
+    pub fingerprints: Vec<Fingerprint>,
     /// Time since it was sent to the target.
     pub sent_ms_ago: u64,
 }
@@ -33,11 +30,11 @@
     #[must_use]
     pub fn split(end: &TargetEnd, now_ms: u64) -> Vec<Self> {
         let mut messages: Vec<Self> = Vec::new();
-        let mut parts = MAX_PARTS_PER_DATAGRAM;
+        let mut fingerprints = MAX_FINGERPRINTS_PER_DATAGRAM;
         for call in &end.suspects {
-            parts += call.shared_parts.len();
-            if parts > MAX_PARTS_PER_DATAGRAM {
-                parts = call.shared_parts.len();
+            fingerprints += call.fingerprints.len();
+            if fingerprints > MAX_FINGERPRINTS_PER_DATAGRAM {
+                fingerprints = call.fingerprints.len();
                 messages.push(Self {
                     instance: end.instance.clone(),
                     ended_ms_ago: now_ms.saturating_sub(end.ended_at_ms),
@@ -46,7 +43,7 @@
             }
             if let Some(message) = messages.last_mut() {
                 message.suspects.push(PeerSuspect {
-                    shared_parts: call.shared_parts.clone(),
+                    fingerprints: call.fingerprints.clone(),
                     sent_ms_ago: now_ms.saturating_sub(call.sent_at_ms),
                 });
             }
@@ -58,7 +55,7 @@
     #[must_use]
     pub fn into_end(self, now_ms: u64) -> TargetEnd {
         let suspects = self.suspects.into_iter().map(|suspect| SuspectCall {
-            shared_parts: suspect.shared_parts,
+            fingerprints: suspect.fingerprints,
             sent_at_ms: now_ms.saturating_sub(suspect.sent_ms_ago),
         });
         TargetEnd {
--- a/crates/toucan_gateway/src/poison/broken_calls.rs
+++ b/crates/toucan_gateway/src/poison/broken_calls.rs
@@ -44,7 +44,7 @@
         end.broken_calls += 1;
         let has_just_begun =
             first_event_ms.is_none_or(|began_ms| now_ms <= began_ms + MAX_ANSWER_AGE_MS);
-        let is_suspect = has_just_begun && !call.shared_parts.is_empty();
+        let is_suspect = has_just_begun && !call.fingerprints.is_empty();
         if is_suspect && end.suspects.len() < MAX_SUSPECTS {
             end.suspects.push(call);
         }
--- a/crates/toucan_gateway/src/poison/mod.rs
+++ b/crates/toucan_gateway/src/poison/mod.rs
@@ -1,11 +1,12 @@
-//! Prompt parts that end the targets which begin to write an answer on them.
+//! Calls that end the targets which begin to answer them.
 //!
-//! Such a part is a poison pill: whichever target gets it ends, with all the calls that it holds, and
-//! a gateway that takes the end for a fault of the target sends the next call with the part to
-//! another one.
+//! Such a call is a poison pill: whichever target gets it ends, with all the calls that it holds, and a
+//! gateway that takes the end for a fault of the target sends the next such call to another one. What such
+//! calls have in common is a [`Fingerprint`].
 
 mod broken_calls;
 mod call_digest;
+mod fingerprint;
 mod poison_table;
 mod poison_verdict;
 mod suspicion;
@@ -14,9 +15,10 @@
 
 pub use broken_calls::BrokenCalls;
 pub use call_digest::{CallDigest, CallIdentity};
-pub use poison_table::{PartCheck, PoisonTable, SoundParts};
+pub use fingerprint::Fingerprint;
+pub use poison_table::{PoisonCheck, PoisonTable, SoundOutcome};
 pub use poison_verdict::PoisonVerdict;
 pub use suspicion::{ENDS_TO_CONDEMN, ENDS_TO_RESTRICT};
-pub(crate) use target_end::join_parts;
+pub(crate) use target_end::join_fingerprints;
 pub use target_end::{SuspectCall, TargetEnd, TargetInstance};
 pub use verdict_outbox::VerdictOutbox;
--- a/crates/toucan_gateway/src/poison/poison_table.rs
+++ b/crates/toucan_gateway/src/poison/poison_table.rs
@@ -1,10 +1,10 @@
-//! What this gateway knows of parts that may end targets.
+//! What this gateway knows of fingerprints that may end targets.
 
 use toucan_types::FastHashMap;
 
-use crate::wire_format::PartId;
-
-use super::{PoisonVerdict, SuspectCall, TargetEnd, TargetInstance, suspicion::Suspicion};
+use super::{
+    Fingerprint, PoisonVerdict, SuspectCall, TargetEnd, TargetInstance, suspicion::Suspicion,
+};
 
 /// Time since the last end of a target after which a suspicion is forgotten, and an end can no longer
 /// be refuted.
@@ -14,48 +14,48 @@
 const REFUTABLE_AFTER_MS: u64 = 2_000;
 /// Time between two such registrations that show it. A single one may have been delayed.
 const REGISTRATION_GAP_MS: u64 = 1_000;
-/// Maximum number of parts that are suspected or condemned.
-const MAX_PARTS: usize = 1_024;
+/// Maximum number of fingerprints that are suspected or condemned.
+const MAX_FINGERPRINTS: usize = 1_024;
 
-/// Whether a call may be sent, as far as the parts of its prompt are concerned. A later variant
+/// Whether a call may be sent, as far as its fingerprints are concerned. A later variant
 /// outweighs an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PartCheck {
+pub enum PoisonCheck {
     /// It may be sent.
     Clear,
-    /// It may be sent as the only one with a suspected part.
+    /// It may be sent as the only one with a suspected fingerprint.
     Trial,
-    /// It has to wait until the result of another call with a suspected part is known.
+    /// It has to wait until the result of another call with a suspected fingerprint is known.
     Wait,
     /// It must not be sent again: it may have ended a target.
     Suspected,
-    /// It must not be sent: it has a part that ends targets.
+    /// It must not be sent: it has a fingerprint that ends targets.
     Condemned {
-        /// Time until the part is tried again, in milliseconds.
+        /// Time until the fingerprint is tried again, in milliseconds.
         return_ms: u64,
     },
 }
 
 /// What an answer that is complete has changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct SoundParts {
-    /// Parts that were suspected or condemned.
-    pub cleared: Vec<PartId>,
+pub struct SoundOutcome {
+    /// Fingerprints that were suspected or condemned.
+    pub cleared: Vec<Fingerprint>,
     /// Those of them that were condemned.
-    pub lifted: Vec<PartId>,
-    /// Condemned parts that always came with one of them and now stand alone.
-    pub narrowed: Vec<PartId>,
+    pub lifted: Vec<Fingerprint>,
+    /// Condemned fingerprints that always came with one of them and now stand alone.
+    pub narrowed: Vec<Fingerprint>,
 }
 
-/// Suspected and condemned parts.
+/// Suspected and condemned fingerprints.
 ///
-/// A target that ends holds many calls, of which one may have ended it. So a part is condemned only if
+/// A target that ends holds many calls, of which one may have ended it. So a fingerprint is condemned only if
 /// several targets ended under it one after the other and no answer was completed on it in between.
-/// Parts that always came together are condemned together: a call is refused only if it has all of
+/// Fingerprints that always came together are condemned together: a call is refused only if it has all of
 /// them, and the first complete answer on one of them leaves the others.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
-    by_part: FastHashMap<PartId, Suspicion>,
+    by_fingerprint: FastHashMap<Fingerprint, Suspicion>,
     /// When the targets ended that the suspicions rest on.
     ended: FastHashMap<TargetInstance, EndedInstance>,
     /// Spreads what all gateways would do at the same time.
@@ -80,9 +80,9 @@
         }
     }
 
-    /// Records the end of a target, seen here or told by another gateway. Returns the parts that are
+    /// Records the end of a target, seen here or told by another gateway. Returns the fingerprints that are
     /// condemned by it.
-    pub fn record_end(&mut self, end: &TargetEnd, now_ms: u64) -> Vec<PartId> {
+    pub fn record_end(&mut self, end: &TargetEnd, now_ms: u64) -> Vec<Fingerprint> {
         self.forget_old(now_ms);
         self.ended
             .entry(end.instance.clone())
@@ -92,40 +92,40 @@
             });
         let mut condemned = Vec::new();
         for call in &end.suspects {
-            for part in &call.shared_parts {
-                if self.record_suspect(*part, call, end) {
-                    condemned.push(*part);
+            for fingerprint in &call.fingerprints {
+                if self.record_suspect(*fingerprint, call, end) {
+                    condemned.push(*fingerprint);
                 }
             }
         }
-        condemned.retain(|part| !self.is_explained(*part));
-        for part in &condemned {
-            if let Some(suspicion) = self.by_part.get_mut(part) {
+        condemned.retain(|fingerprint| !self.is_explained(*fingerprint));
+        for fingerprint in &condemned {
+            if let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) {
                 suspicion.condemn(0, true, now_ms, self.seed);
             }
         }
         condemned
     }
 
-    /// Removes and returns the condemned parts that other verdicts have made needless: they were in
-    /// other calls that their targets held when another part ended them.
-    pub fn lift_explained(&mut self) -> Vec<PartId> {
-        let own = self.by_part.iter();
-        let own = own.filter(|(_part, suspicion)| suspicion.is_condemned_by_own_evidence());
-        let explained: Vec<PartId> = own
-            .map(|(part, _suspicion)| *part)
-            .filter(|part| self.is_explained(*part))
+    /// Removes and returns the condemned fingerprints that other verdicts have made needless: they were in
+    /// other calls that their targets held when another fingerprint ended them.
+    pub fn lift_explained(&mut self) -> Vec<Fingerprint> {
+        let own = self.by_fingerprint.iter();
+        let own = own.filter(|(_fingerprint, suspicion)| suspicion.is_condemned_by_own_evidence());
+        let explained: Vec<Fingerprint> = own
+            .map(|(fingerprint, _suspicion)| *fingerprint)
+            .filter(|fingerprint| self.is_explained(*fingerprint))
             .collect();
-        for part in &explained {
-            self.by_part.remove(part);
+        for fingerprint in &explained {
+            self.by_fingerprint.remove(fingerprint);
         }
         explained
     }
 
-    /// Returns whether other condemned parts, with ends of their own besides, were suspected at each end
-    /// of a target that held a call with the part.
-    fn is_explained(&self, part: PartId) -> bool {
-        let Some(suspicion) = self.by_part.get(&part) else {
+    /// Returns whether other condemned fingerprints, with ends of their own besides, were suspected at each end
+    /// of a target that held a call with the fingerprint.
+    fn is_explained(&self, fingerprint: Fingerprint) -> bool {
+        let Some(suspicion) = self.by_fingerprint.get(&fingerprint) else {
             return false;
         };
         let has_more_ends = |other: &Suspicion| {
@@ -133,7 +133,7 @@
             ends.any(|instance| !suspicion.has_end(instance))
         };
         let others: Vec<&Suspicion> = self
-            .by_part
+            .by_fingerprint
             .iter()
             .filter(|(other, _suspicion)| !suspicion.companions().contains(other))
             .map(|(_other, suspicion)| suspicion)
@@ -144,42 +144,49 @@
             .all(|instance| others.iter().any(|other| other.has_end(instance)))
     }
 
-    fn record_suspect(&mut self, part: PartId, call: &SuspectCall, end: &TargetEnd) -> bool {
-        if !self.by_part.contains_key(&part) && self.by_part.len() >= MAX_PARTS {
+    fn record_suspect(
+        &mut self,
+        fingerprint: Fingerprint,
+        call: &SuspectCall,
+        end: &TargetEnd,
+    ) -> bool {
+        if !self.by_fingerprint.contains_key(&fingerprint)
+            && self.by_fingerprint.len() >= MAX_FINGERPRINTS
+        {
             self.evict();
         }
         let suspicion = self
-            .by_part
-            .entry(part)
-            .or_insert_with(|| Suspicion::new(call.shared_parts.clone()));
+            .by_fingerprint
+            .entry(fingerprint)
+            .or_insert_with(|| Suspicion::new(call.fingerprints.clone()));
         suspicion.record_end(
             &end.instance,
-            &call.shared_parts,
+            &call.fingerprints,
             call.sent_at_ms,
             end.ended_at_ms,
         )
     }
 
-    /// Records that an answer to a call with these parts is complete, so that none of them ends
+    /// Records that an answer to a call with these fingerprints is complete, so that none of them ends
     /// targets.
-    pub fn record_sound(&mut self, shared_parts: &[PartId]) -> SoundParts {
-        let mut sound = SoundParts::default();
-        if self.by_part.is_empty() {
+    pub fn record_sound(&mut self, fingerprints: &[Fingerprint]) -> SoundOutcome {
+        let mut sound = SoundOutcome::default();
+        if self.by_fingerprint.is_empty() {
             return sound;
         }
-        for part in shared_parts {
-            let Some(suspicion) = self.by_part.remove(part) else {
+        for fingerprint in fingerprints {
+            let Some(suspicion) = self.by_fingerprint.remove(fingerprint) else {
                 continue;
             };
-            sound.cleared.push(*part);
+            sound.cleared.push(*fingerprint);
             if suspicion.is_condemned() {
-                sound.lifted.push(*part);
+                sound.lifted.push(*fingerprint);
             }
         }
         if !sound.cleared.is_empty() {
-            for (part, suspicion) in &mut self.by_part {
+            for (fingerprint, suspicion) in &mut self.by_fingerprint {
                 if suspicion.exclude(&sound.cleared) && suspicion.is_condemned() {
-                    sound.narrowed.push(*part);
+                    sound.narrowed.push(*fingerprint);
                 }
             }
         }
@@ -187,8 +194,12 @@
     }
 
     /// Records that a target wrote a registration. One that goes on to write has not ended. Returns the
-    /// parts whose verdicts this lifts.
-    pub fn record_registration(&mut self, instance: &TargetInstance, now_ms: u64) -> Vec<PartId> {
+    /// fingerprints whose verdicts this lifts.
+    pub fn record_registration(
+        &mut self,
+        instance: &TargetInstance,
+        now_ms: u64,
+    ) -> Vec<Fingerprint> {
         let Some(ended) = self.ended.get_mut(instance) else {
             return Vec::new();
         };
@@ -201,50 +212,56 @@
         }
         self.ended.remove(instance);
         let mut lifted = Vec::new();
-        for (part, suspicion) in &mut self.by_part {
+        for (fingerprint, suspicion) in &mut self.by_fingerprint {
             if suspicion.refute_end(instance) {
-                lifted.push(*part);
+                lifted.push(*fingerprint);
             }
         }
-        self.by_part
-            .retain(|_part, suspicion| suspicion.is_condemned() || suspicion.ended_targets() > 0);
+        self.by_fingerprint.retain(|_fingerprint, suspicion| {
+            suspicion.is_condemned() || suspicion.ended_targets() > 0
+        });
         lifted
     }
 
     /// Decides whether a call may be sent. `may_have_run` tells whether a target may have run it before.
     #[must_use]
-    pub fn check(&self, shared_parts: &[PartId], may_have_run: bool, now_ms: u64) -> PartCheck {
-        if self.by_part.is_empty() {
-            return PartCheck::Clear;
+    pub fn check(
+        &self,
+        fingerprints: &[Fingerprint],
+        may_have_run: bool,
+        now_ms: u64,
+    ) -> PoisonCheck {
+        if self.by_fingerprint.is_empty() {
+            return PoisonCheck::Clear;
         }
-        shared_parts
+        fingerprints
             .iter()
-            .filter_map(|part| self.by_part.get(part))
-            .filter(|suspicion| suspicion.applies_to(shared_parts))
+            .filter_map(|fingerprint| self.by_fingerprint.get(fingerprint))
+            .filter(|suspicion| suspicion.applies_to(fingerprints))
             .map(|suspicion| suspicion.check(may_have_run, now_ms))
             .max()
-            .unwrap_or(PartCheck::Clear)
+            .unwrap_or(PoisonCheck::Clear)
     }
 
-    /// Begins a trial of a call's parts. Returns the parts that are on trial by it.
-    pub fn begin_trial(&mut self, shared_parts: &[PartId], now_ms: u64) -> Vec<PartId> {
+    /// Begins a trial of a call's fingerprints. Returns the fingerprints that are on trial by it.
+    pub fn begin_trial(&mut self, fingerprints: &[Fingerprint], now_ms: u64) -> Vec<Fingerprint> {
         let mut tried = Vec::new();
-        for part in shared_parts {
-            let Some(suspicion) = self.by_part.get_mut(part) else {
+        for fingerprint in fingerprints {
+            let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) else {
                 continue;
             };
-            if suspicion.is_restricted() && suspicion.applies_to(shared_parts) {
+            if suspicion.is_restricted() && suspicion.applies_to(fingerprints) {
                 suspicion.begin_trial(now_ms, self.seed);
-                tried.push(*part);
+                tried.push(*fingerprint);
             }
         }
         tried
     }
 
-    /// Records that another gateway has begun or ended a trial of parts.
-    pub fn record_trial(&mut self, parts: &[PartId], has_begun: bool, now_ms: u64) {
-        for part in parts {
-            let Some(suspicion) = self.by_part.get_mut(part) else {
+    /// Records that another gateway has begun or ended a trial of fingerprints.
+    pub fn record_trial(&mut self, fingerprints: &[Fingerprint], has_begun: bool, now_ms: u64) {
+        for fingerprint in fingerprints {
+            let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) else {
                 continue;
             };
             if has_begun {
@@ -256,27 +273,27 @@
     }
 
     /// Records that a target broke off the call of a trial.
-    pub fn break_trial(&mut self, parts: &[PartId], now_ms: u64) {
-        for part in parts {
-            if let Some(suspicion) = self.by_part.get_mut(part) {
+    pub fn break_trial(&mut self, fingerprints: &[Fingerprint], now_ms: u64) {
+        for fingerprint in fingerprints {
+            if let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) {
                 suspicion.break_trial(now_ms);
             }
         }
     }
 
     /// Ends a trial that a target broke off and lives.
-    pub fn settle_trial(&mut self, parts: &[PartId]) {
-        for part in parts {
-            if let Some(suspicion) = self.by_part.get_mut(part) {
+    pub fn settle_trial(&mut self, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            if let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) {
                 suspicion.settle_trial();
             }
         }
     }
 
     /// Ends a trial of this gateway that has shown nothing or whose answer is complete.
-    pub fn end_trial(&mut self, parts: &[PartId]) {
-        for part in parts {
-            if let Some(suspicion) = self.by_part.get_mut(part) {
+    pub fn end_trial(&mut self, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            if let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) {
                 suspicion.end_trial();
             }
         }
@@ -284,12 +301,14 @@
 
     /// Applies a verdict of another gateway, or of an earlier process, that is `age_ms` old.
     pub fn apply_verdict(&mut self, verdict: &PoisonVerdict, age_ms: u64, now_ms: u64) {
-        if !self.by_part.contains_key(&verdict.part) && self.by_part.len() >= MAX_PARTS {
+        if !self.by_fingerprint.contains_key(&verdict.fingerprint)
+            && self.by_fingerprint.len() >= MAX_FINGERPRINTS
+        {
             self.evict();
         }
         let suspicion = self
-            .by_part
-            .entry(verdict.part)
+            .by_fingerprint
+            .entry(verdict.fingerprint)
             .or_insert_with(|| Suspicion::new(verdict.companions.clone()));
         suspicion.narrow(&verdict.companions);
         if suspicion.is_condemned() && suspicion.trials() >= verdict.trials {
@@ -304,20 +323,20 @@
         );
     }
 
-    /// Forgets a part, because another gateway or an operator has lifted its verdict. Returns whether it
+    /// Forgets a fingerprint, because another gateway or an operator has lifted its verdict. Returns whether it
     /// was condemned.
-    pub fn lift(&mut self, part: PartId) -> bool {
-        self.by_part
-            .remove(&part)
+    pub fn lift(&mut self, fingerprint: Fingerprint) -> bool {
+        self.by_fingerprint
+            .remove(&fingerprint)
             .is_some_and(|suspicion| suspicion.is_condemned())
     }
 
-    /// Returns the verdict on a part, as it is told and stored.
+    /// Returns the verdict on a fingerprint, as it is told and stored.
     #[must_use]
-    pub fn verdict(&self, part: PartId, unix_ms: u64) -> Option<PoisonVerdict> {
-        let suspicion = self.by_part.get(&part)?;
+    pub fn verdict(&self, fingerprint: Fingerprint, unix_ms: u64) -> Option<PoisonVerdict> {
+        let suspicion = self.by_fingerprint.get(&fingerprint)?;
         suspicion.is_condemned().then(|| PoisonVerdict {
-            part,
+            fingerprint,
             companions: suspicion.companions().to_vec(),
             ended_targets: suspicion.ended_targets() as u32,
             trials: suspicion.trials(),
@@ -325,10 +344,10 @@
         })
     }
 
-    /// Returns whether a part is condemned.
+    /// Returns whether a fingerprint is condemned.
     #[must_use]
-    pub fn is_condemned(&self, part: PartId) -> bool {
-        let suspicion = self.by_part.get(&part);
+    pub fn is_condemned(&self, fingerprint: Fingerprint) -> bool {
+        let suspicion = self.by_fingerprint.get(&fingerprint);
         suspicion.is_some_and(Suspicion::is_condemned)
     }
 
@@ -336,76 +355,81 @@
     /// companions that were ruled out.
     #[must_use]
     pub fn knows_no_more_than(&self, verdict: &PoisonVerdict) -> bool {
-        self.by_part.get(&verdict.part).is_none_or(|suspicion| {
-            suspicion.trials() <= verdict.trials
-                && suspicion.companions().len() == verdict.companions.len()
-        })
+        self.by_fingerprint
+            .get(&verdict.fingerprint)
+            .is_none_or(|suspicion| {
+                suspicion.trials() <= verdict.trials
+                    && suspicion.companions().len() == verdict.companions.len()
+            })
     }
 
-    /// Counts a call that was refused for the verdicts on its parts.
-    pub fn count_refused(&mut self, shared_parts: &[PartId]) {
-        for part in shared_parts {
-            if let Some(suspicion) = self.by_part.get_mut(part)
-                && suspicion.applies_to(shared_parts)
+    /// Counts a call that was refused for the verdicts on its fingerprints.
+    pub fn count_refused(&mut self, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            if let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint)
+                && suspicion.applies_to(fingerprints)
             {
                 suspicion.count_refused();
             }
         }
     }
 
-    /// Returns the number of calls that were refused for the verdict on a part.
+    /// Returns the number of calls that were refused for the verdict on a fingerprint.
     #[must_use]
-    pub fn refused_calls(&self, part: PartId) -> u64 {
-        let suspicion = self.by_part.get(&part);
+    pub fn refused_calls(&self, fingerprint: Fingerprint) -> u64 {
+        let suspicion = self.by_fingerprint.get(&fingerprint);
         suspicion.map_or(0, Suspicion::refused_calls)
     }
 
-    /// Returns the time until a call with a condemned part is tried; [`None`] if one may be tried now.
+    /// Returns the time until a call with a condemned fingerprint is tried; [`None`] if one may be tried now.
     #[must_use]
-    pub fn return_ms(&self, part: PartId, now_ms: u64) -> Option<u64> {
-        self.by_part.get(&part)?.return_ms(now_ms)
+    pub fn return_ms(&self, fingerprint: Fingerprint, now_ms: u64) -> Option<u64> {
+        self.by_fingerprint.get(&fingerprint)?.return_ms(now_ms)
     }
 
-    /// Returns all condemned parts.
-    pub fn condemned(&self) -> impl Iterator<Item = PartId> {
-        self.by_part
+    /// Returns all condemned fingerprints.
+    pub fn condemned(&self) -> impl Iterator<Item = Fingerprint> {
+        self.by_fingerprint
             .iter()
-            .filter(|(_part, suspicion)| suspicion.is_condemned())
-            .map(|(part, _suspicion)| *part)
+            .filter(|(_fingerprint, suspicion)| suspicion.is_condemned())
+            .map(|(fingerprint, _suspicion)| *fingerprint)
     }
 
-    /// Returns the number of parts that are suspected or condemned.
+    /// Returns the number of fingerprints that are suspected or condemned.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.by_part.len()
+        self.by_fingerprint.len()
     }
 
-    /// Returns whether no part is suspected or condemned.
+    /// Returns whether no fingerprint is suspected or condemned.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.by_part.is_empty()
+        self.by_fingerprint.is_empty()
     }
 
     fn forget_old(&mut self, now_ms: u64) {
-        self.by_part.retain(|_part, suspicion| {
+        self.by_fingerprint.retain(|_fingerprint, suspicion| {
             suspicion.is_condemned() || now_ms <= suspicion.last_end_ms() + MAX_SUSPICION_AGE_MS
         });
         self.ended
             .retain(|_instance, ended| now_ms <= ended.ended_at_ms + MAX_SUSPICION_AGE_MS);
     }
 
-    /// Forgets the part with the least evidence.
+    /// Forgets the fingerprint with the least evidence.
     fn evict(&mut self) {
-        let least = self.by_part.iter().min_by_key(|(_part, suspicion)| {
-            (
-                suspicion.is_condemned(),
-                suspicion.ended_targets(),
-                suspicion.last_end_ms(),
-            )
-        });
-        let least = least.map(|(part, _suspicion)| *part);
-        if let Some(part) = least {
-            self.by_part.remove(&part);
+        let least = self
+            .by_fingerprint
+            .iter()
+            .min_by_key(|(_fingerprint, suspicion)| {
+                (
+                    suspicion.is_condemned(),
+                    suspicion.ended_targets(),
+                    suspicion.last_end_ms(),
+                )
+            });
+        let least = least.map(|(fingerprint, _suspicion)| *fingerprint);
+        if let Some(fingerprint) = least {
+            self.by_fingerprint.remove(&fingerprint);
         }
     }
 }
--- a/crates/toucan_gateway/src/poison/poison_verdict.rs
+++ b/crates/toucan_gateway/src/poison/poison_verdict.rs
@@ -1,17 +1,17 @@
-//! The verdict that a part ends targets, as it is told and stored.
+//! The verdict that a fingerprint ends targets, as it is told and stored.
 
 use bytes::Bytes;
 
-use crate::wire_format::PartId;
+use super::Fingerprint;
 
-/// The verdict that a part ends targets.
+/// The verdict that a fingerprint ends targets.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PoisonVerdict {
-    /// Part.
-    pub part: PartId,
-    /// Parts that a call must all have to be refused, the part among them. It is not known which of
+    /// Fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Fingerprints that a call must all have to be refused, the fingerprint among them. It is not known which of
     /// them ends targets.
-    pub companions: Vec<PartId>,
+    pub companions: Vec<Fingerprint>,
     /// Number of ended targets that the verdict rests on.
     pub ended_targets: u32,
     /// Number of calls that were tried since the verdict.
--- a/crates/toucan_gateway/src/poison/suspicion.rs
+++ b/crates/toucan_gateway/src/poison/suspicion.rs
@@ -1,15 +1,13 @@
-//! What is known of one part that may end targets.
+//! What is known of one fingerprint that may end targets.
 
-use crate::wire_format::PartId;
+use super::{Fingerprint, PoisonCheck, TargetInstance};
 
-use super::{PartCheck, TargetInstance};
-
-/// Number of ended targets from which calls with a part are sent one at a time.
+/// Number of ended targets from which calls with a fingerprint are sent one at a time.
 pub const ENDS_TO_RESTRICT: usize = 2;
-/// Number of ended targets at which a part is condemned.
+/// Number of ended targets at which a fingerprint is condemned.
 ///
 /// One end has many suspects and two may have another reason, such as a sound call that is retried
-/// while another part ends targets.
+/// while another fingerprint ends targets.
 pub const ENDS_TO_CONDEMN: usize = 3;
 /// Time between the ends of two targets from which they did not end together, by a rack, a restart of the
 /// service or a cut of the network.
@@ -20,27 +18,27 @@
 const MAX_TRIAL_MS: u64 = 10_000;
 /// Time in which it is found out whether a target that broke off a trial has ended.
 const TRIAL_RESULT_MS: u64 = 500;
-/// Times from a verdict, and from the trial after it, until one call with the part is tried again. After
+/// Times from a verdict, and from the trial after it, until one call with the fingerprint is tried again. After
 /// the last trial only an operator lifts the verdict.
 const TRIAL_DELAYS_MS: [u64; 2] = [10_000, 600_000];
 /// Longest time by which gateways spread the trial, so that they do not all begin one at once.
 const MAX_TRIAL_SPREAD_MS: u64 = 2_000;
-/// Time to return for callers of a part that is not tried again.
+/// Time to return for callers of a fingerprint that is not tried again.
 const NO_TRIAL_RETURN_MS: u64 = 3_600_000;
 
-/// What is known of one part that may end targets.
+/// What is known of one fingerprint that may end targets.
 #[derive(Clone, Debug)]
 pub(super) struct Suspicion {
-    /// Targets that ended while they held a call with the part, one after the other.
+    /// Targets that ended while they held a call with the fingerprint, one after the other.
     ends: Vec<SuspectEnd>,
-    /// Parts that all suspect calls with this part had, with this part. It is not known which of them
+    /// Fingerprints that all suspect calls with this fingerprint had, with this fingerprint. It is not known which of them
     /// ended the targets.
-    companions: Vec<PartId>,
+    companions: Vec<Fingerprint>,
     trial: Option<Trial>,
     verdict: Option<Verdict>,
 }
 
-/// The end of a target that held a call with a part.
+/// The end of a target that held a call with a fingerprint.
 #[derive(Clone, Debug)]
 struct SuspectEnd {
     instance: TargetInstance,
@@ -59,7 +57,7 @@
     }
 }
 
-/// A call that is sent to find out whether a part ends targets.
+/// A call that is sent to find out whether a fingerprint ends targets.
 #[derive(Clone, Copy, Debug)]
 struct Trial {
     until_ms: u64,
@@ -67,12 +65,12 @@
     is_broken: bool,
 }
 
-/// The verdict that a part ends targets.
+/// The verdict that a fingerprint ends targets.
 #[derive(Clone, Copy, Debug)]
 struct Verdict {
     /// Number of trials since.
     trials: u32,
-    /// When a call with the part is tried again; [`None`] if never.
+    /// When a call with the fingerprint is tried again; [`None`] if never.
     next_trial_ms: Option<u64>,
     /// Number of calls that this gateway has refused.
     refused_calls: u64,
@@ -81,8 +79,8 @@
 }
 
 impl Suspicion {
-    /// Creates the suspicion of a part that came in a call with `companions`, itself one of them.
-    pub(super) fn new(companions: Vec<PartId>) -> Self {
+    /// Creates the suspicion of a fingerprint that came in a call with `companions`, itself one of them.
+    pub(super) fn new(companions: Vec<Fingerprint>) -> Self {
         Self {
             ends: Vec::new(),
             companions,
@@ -91,18 +89,19 @@
         }
     }
 
-    /// Records that a target ended while it held a call with the part. Returns whether this condemns
-    /// the part.
+    /// Records that a target ended while it held a call with the fingerprint. Returns whether this condemns
+    /// the fingerprint.
     ///
     /// Targets that end together count once: something else may have ended them.
     pub(super) fn record_end(
         &mut self,
         instance: &TargetInstance,
-        shared_parts: &[PartId],
+        fingerprints: &[Fingerprint],
         sent_at_ms: u64,
         ended_at_ms: u64,
     ) -> bool {
-        self.companions.retain(|part| shared_parts.contains(part));
+        self.companions
+            .retain(|fingerprint| fingerprints.contains(fingerprint));
         let end = SuspectEnd {
             instance: instance.clone(),
             sent_at_ms,
@@ -123,7 +122,7 @@
         self.verdict.is_none() && self.ends.len() >= ENDS_TO_CONDEMN
     }
 
-    /// Condemns the part.
+    /// Condemns the fingerprint.
     pub(super) fn condemn(&mut self, trials: u32, is_own: bool, since_ms: u64, seed: u64) {
         self.trial = None;
         self.verdict = Some(Verdict {
@@ -147,45 +146,47 @@
         false
     }
 
-    /// Records that parts are sound, so that they are no companions. Returns whether one was.
-    pub(super) fn exclude(&mut self, sound: &[PartId]) -> bool {
+    /// Records that fingerprints are sound, so that they are no companions. Returns whether one was.
+    pub(super) fn exclude(&mut self, sound: &[Fingerprint]) -> bool {
         let before = self.companions.len();
-        self.companions.retain(|part| !sound.contains(part));
+        self.companions
+            .retain(|fingerprint| !sound.contains(fingerprint));
         self.companions.len() < before
     }
 
     /// Leaves only those companions that another gateway has not ruled out.
-    pub(super) fn narrow(&mut self, companions: &[PartId]) {
-        self.companions.retain(|part| companions.contains(part));
+    pub(super) fn narrow(&mut self, companions: &[Fingerprint]) {
+        self.companions
+            .retain(|fingerprint| companions.contains(fingerprint));
     }
 
-    /// Returns whether a call with these parts has all that the suspect calls have in common.
-    pub(super) fn applies_to(&self, shared_parts: &[PartId]) -> bool {
+    /// Returns whether a call with these fingerprints has all that the suspect calls have in common.
+    pub(super) fn applies_to(&self, fingerprints: &[Fingerprint]) -> bool {
         self.companions
             .iter()
-            .all(|part| shared_parts.contains(part))
+            .all(|fingerprint| fingerprints.contains(fingerprint))
     }
 
-    /// Decides whether a call with the part may be sent. `may_have_run` tells whether a target may have
+    /// Decides whether a call with the fingerprint may be sent. `may_have_run` tells whether a target may have
     /// run the call before.
-    pub(super) fn check(&self, may_have_run: bool, now_ms: u64) -> PartCheck {
+    pub(super) fn check(&self, may_have_run: bool, now_ms: u64) -> PoisonCheck {
         if !self.is_restricted() {
-            return PartCheck::Clear;
+            return PoisonCheck::Clear;
         }
         if may_have_run {
-            return PartCheck::Suspected;
+            return PoisonCheck::Suspected;
         }
         if let Some(return_ms) = self.return_ms(now_ms) {
-            return PartCheck::Condemned { return_ms };
+            return PoisonCheck::Condemned { return_ms };
         }
         if self.is_on_trial(now_ms) {
-            PartCheck::Wait
+            PoisonCheck::Wait
         } else {
-            PartCheck::Trial
+            PoisonCheck::Trial
         }
     }
 
-    /// Returns the time until a call with a condemned part may be tried; [`None`] if it may be now.
+    /// Returns the time until a call with a condemned fingerprint may be tried; [`None`] if it may be now.
     pub(super) fn return_ms(&self, now_ms: u64) -> Option<u64> {
         let verdict = self.verdict?;
         let Some(next_ms) = verdict.next_trial_ms else {
@@ -231,17 +232,17 @@
         self.trial.is_some_and(|trial| now_ms < trial.until_ms)
     }
 
-    /// Returns whether calls with the part are sent one at a time or not at all.
+    /// Returns whether calls with the fingerprint are sent one at a time or not at all.
     pub(super) fn is_restricted(&self) -> bool {
         self.verdict.is_some() || self.ends.len() >= ENDS_TO_RESTRICT
     }
 
-    /// Returns whether the part is taken for what ends targets.
+    /// Returns whether the fingerprint is taken for what ends targets.
     pub(super) const fn is_condemned(&self) -> bool {
         self.verdict.is_some()
     }
 
-    /// Returns whether the part is condemned for ends that this gateway knows.
+    /// Returns whether the fingerprint is condemned for ends that this gateway knows.
     pub(super) fn is_condemned_by_own_evidence(&self) -> bool {
         self.verdict.is_some_and(|verdict| verdict.is_own)
     }
@@ -263,29 +264,29 @@
         self.verdict.map_or(0, |verdict| verdict.trials)
     }
 
-    /// Returns the targets that ended under the part.
+    /// Returns the targets that ended under the fingerprint.
     pub(super) fn ended_instances(&self) -> impl Iterator<Item = &TargetInstance> {
         self.ends.iter().map(|end| &end.instance)
     }
 
-    /// Returns whether a target ended under the part.
+    /// Returns whether a target ended under the fingerprint.
     pub(super) fn has_end(&self, instance: &TargetInstance) -> bool {
         self.ended_instances().any(|ended| ended == instance)
     }
 
-    /// Returns the number of targets that ended under the part.
+    /// Returns the number of targets that ended under the fingerprint.
     pub(super) const fn ended_targets(&self) -> usize {
         self.ends.len()
     }
 
-    /// Returns when the last target ended under the part; 0 if none is known.
+    /// Returns when the last target ended under the fingerprint; 0 if none is known.
     pub(super) fn last_end_ms(&self) -> u64 {
         let ends = self.ends.iter().map(|end| end.ended_at_ms);
         ends.max().unwrap_or(0)
     }
 
-    /// Returns the parts that a call must all have for the suspicion to apply.
-    pub(super) fn companions(&self) -> &[PartId] {
+    /// Returns the fingerprints that a call must all have for the suspicion to apply.
+    pub(super) fn companions(&self) -> &[Fingerprint] {
         &self.companions
     }
 }
--- a/crates/toucan_gateway/src/poison/target_end.rs
+++ b/crates/toucan_gateway/src/poison/target_end.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::TargetName;
 
-use crate::wire_format::PartId;
+use super::Fingerprint;
 
 /// One start of a target. A target that starts again is another instance.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
@@ -18,23 +18,23 @@
 /// A call that a target held when it ended, and that may have ended it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SuspectCall {
-    /// Parts of its prompt that other calls may have too.
-    pub shared_parts: Vec<PartId>,
+    /// What it is suspected for.
+    pub fingerprints: Vec<Fingerprint>,
     /// When it was sent to the target.
     pub sent_at_ms: u64,
 }
 
 impl fmt::Display for SuspectCall {
-    /// Writes the parts, for logs.
+    /// Writes the fingerprints, for logs.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&join_parts(&self.shared_parts))
+        f.write_str(&join_fingerprints(&self.fingerprints))
     }
 }
 
-/// Returns parts as text for logs.
-pub(crate) fn join_parts(parts: &[PartId]) -> String {
-    let parts: Vec<String> = parts.iter().map(PartId::to_string).collect();
-    parts.join("+")
+/// Returns fingerprints as text for logs.
+pub(crate) fn join_fingerprints(fingerprints: &[Fingerprint]) -> String {
+    let fingerprints: Vec<String> = fingerprints.iter().map(Fingerprint::to_string).collect();
+    fingerprints.join("+")
 }
 
 /// The end of a target, as one gateway saw it.
--- a/crates/toucan_gateway/src/poison_reports.rs
+++ b/crates/toucan_gateway/src/poison_reports.rs
@@ -1,4 +1,4 @@
-//! Applies what this gateway and others find out about parts that end targets, and tells it.
+//! Applies what this gateway and others find out about fingerprints that end targets, and tells it.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -7,19 +7,21 @@
 use crate::{
     Gateway, Platform,
     peers::{EndedTarget, PeerMessage},
-    poison::{PoisonVerdict, TargetEnd, TargetInstance, join_parts},
-    wire_format::PartId,
+    poison::{Fingerprint, PoisonVerdict, TargetEnd, TargetInstance, join_fingerprints},
 };
 
 impl<P: Platform> Gateway<P> {
     /// Applies the end of a target that this gateway has seen, and tells the other gateways.
     pub(crate) fn report_target_end(&self, end: &TargetEnd) {
         let now_ms = self.now_ms();
-        for part in self.apply_target_end(end) {
-            self.state.borrow_mut().verdict_outbox.push(part, now_ms);
-            let verdict = self.state.borrow().poison.verdict(part, unix_ms());
+        for fingerprint in self.apply_target_end(end) {
+            self.state
+                .borrow_mut()
+                .verdict_outbox
+                .push(fingerprint, now_ms);
+            let verdict = self.state.borrow().poison.verdict(fingerprint, unix_ms());
             if let Some(verdict) = verdict {
-                self.tell_all(PeerMessage::PartCondemned(verdict));
+                self.tell_all(PeerMessage::Condemned(verdict));
             }
         }
         self.verdicts_changed.notify_one();
@@ -39,71 +41,71 @@
             suspects = end.suspects.len();
             "another gateway tells that the target has ended"
         );
-        for part in self.apply_target_end(&end) {
+        for fingerprint in self.apply_target_end(&end) {
             let state = &mut *self.state.borrow_mut();
             state
                 .verdict_outbox
-                .push_backup(part, self.start_id(), now_ms);
+                .push_backup(fingerprint, self.start_id(), now_ms);
         }
         self.verdicts_changed.notify_one();
     }
 
-    /// Applies the end of a target and returns the parts that are condemned by it.
-    fn apply_target_end(&self, end: &TargetEnd) -> Vec<PartId> {
+    /// Applies the end of a target and returns the fingerprints that are condemned by it.
+    fn apply_target_end(&self, end: &TargetEnd) -> Vec<Fingerprint> {
         let now_ms = self.now_ms();
         let condemned = self.state.borrow_mut().poison.record_end(end, now_ms);
-        for part in &condemned {
-            self.log_verdict(*part);
+        for fingerprint in &condemned {
+            self.log_verdict(*fingerprint);
         }
         let explained = self.state.borrow_mut().poison.lift_explained();
-        self.delete_verdicts(&explained, "other parts have ended the targets");
+        self.delete_verdicts(&explained, "other fingerprints have ended the targets");
         self.poison_changed.notify_waiters();
         condemned
     }
 
-    fn log_verdict(&self, part: PartId) {
-        let Some(verdict) = self.state.borrow().poison.verdict(part, unix_ms()) else {
+    fn log_verdict(&self, fingerprint: Fingerprint) {
+        let Some(verdict) = self.state.borrow().poison.verdict(fingerprint, unix_ms()) else {
             return;
         };
-        metrics::counter!("toucan_condemned_parts_total").increment(1);
+        metrics::counter!("toucan_condemned_fingerprints_total").increment(1);
         log::warn!(
             target: "poison",
-            part:% = part,
-            with = join_parts(&verdict.companions).as_str(),
+            fingerprint:% = fingerprint,
+            with = join_fingerprints(&verdict.companions).as_str(),
             ended_targets = verdict.ended_targets,
             trials = verdict.trials;
-            "a part ends targets, calls with it are refused"
+            "calls with a fingerprint end targets and are refused"
         );
     }
 
     /// Applies that an answer to a call of this gateway is complete, and tells the other gateways if
-    /// one of its parts was suspected.
-    pub(crate) fn report_sound_parts(&self, shared_parts: &[PartId]) {
-        let cleared = self.apply_sound_parts(shared_parts);
+    /// one of its fingerprints was suspected.
+    pub(crate) fn report_sound_call(&self, fingerprints: &[Fingerprint]) {
+        let cleared = self.apply_sound(fingerprints);
         if cleared.is_empty() {
             return;
         }
-        self.tell_all(PeerMessage::PartsSound(cleared));
+        self.tell_all(PeerMessage::Sound(cleared));
     }
 
-    /// Applies that another gateway has completed an answer on some parts.
-    pub(crate) fn accept_sound_parts(&self, parts: &[PartId]) {
-        self.apply_sound_parts(parts);
+    /// Applies that another gateway has completed an answer on some fingerprints.
+    pub(crate) fn accept_sound(&self, fingerprints: &[Fingerprint]) {
+        self.apply_sound(fingerprints);
     }
 
-    /// Applies that some parts are sound, and returns those of them that were suspected.
-    fn apply_sound_parts(&self, shared_parts: &[PartId]) -> Vec<PartId> {
-        let sound = self.state.borrow_mut().poison.record_sound(shared_parts);
+    /// Applies that some fingerprints are sound, and returns those of them that were suspected.
+    fn apply_sound(&self, fingerprints: &[Fingerprint]) -> Vec<Fingerprint> {
+        let sound = self.state.borrow_mut().poison.record_sound(fingerprints);
         if sound.cleared.is_empty() {
             return Vec::new();
         }
         self.poison_changed.notify_waiters();
         let now_ms = self.now_ms();
-        for part in &sound.narrowed {
+        for fingerprint in &sound.narrowed {
             let outbox = &mut self.state.borrow_mut().verdict_outbox;
-            outbox.push_backup(*part, self.start_id(), now_ms);
+            outbox.push_backup(*fingerprint, self.start_id(), now_ms);
         }
-        self.delete_verdicts(&sound.lifted, "an answer on the part was completed");
+        self.delete_verdicts(&sound.lifted, "an answer to such a call was completed");
         sound.cleared
     }
 
@@ -111,7 +113,7 @@
     pub(crate) fn settle_trials(&self, end: &TargetEnd) {
         for call in &end.suspects {
             let poison = &mut self.state.borrow_mut().poison;
-            poison.settle_trial(&call.shared_parts);
+            poison.settle_trial(&call.fingerprints);
         }
         self.poison_changed.notify_waiters();
     }
@@ -128,13 +130,13 @@
         }
     }
 
-    fn delete_verdicts(&self, lifted: &[PartId], reason: &str) {
+    fn delete_verdicts(&self, lifted: &[Fingerprint], reason: &str) {
         let now_ms = self.now_ms();
-        for part in lifted {
-            log::warn!(target: "poison", part:% = part, reason = reason; "calls with the part are served again");
+        for fingerprint in lifted {
+            log::warn!(target: "poison", fingerprint:% = fingerprint, reason = reason; "calls with the fingerprint are served again");
             // Each gateway that has the verdict lifts it; the first one to write is enough.
             let outbox = &mut self.state.borrow_mut().verdict_outbox;
-            outbox.push_backup(*part, self.start_id(), now_ms);
+            outbox.push_backup(*fingerprint, self.start_id(), now_ms);
         }
         self.verdicts_changed.notify_one();
     }
@@ -145,12 +147,12 @@
         let age_ms = unix_ms().saturating_sub(verdict.written_at_unix_ms);
         let was_known = {
             let poison = &mut self.state.borrow_mut().poison;
-            let was_known = poison.is_condemned(verdict.part);
+            let was_known = poison.is_condemned(verdict.fingerprint);
             poison.apply_verdict(verdict, age_ms, now_ms);
             was_known
         };
         if !was_known {
-            self.log_verdict(verdict.part);
+            self.log_verdict(verdict.fingerprint);
             self.poison_changed.notify_waiters();
         }
     }
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -11,14 +11,14 @@
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     placement::CallOutcome,
-    poison::{CallDigest, CallIdentity, SuspectCall},
+    poison::{CallDigest, CallIdentity, Fingerprint, SuspectCall},
     retries::{CallProgress, SendFailure},
     streams::StreamOrigin,
     tasks::target_check::record_broken_call,
-    wire_format::{CallHead, Dispatch, PartId, TokenCounts},
+    wire_format::{CallHead, Dispatch, TokenCounts},
 };
 
-use super::{call_log::CallLog, part_trial::PartTrial};
+use super::{call_log::CallLog, poison_trial::PoisonTrial};
 
 /// A call that was read and authenticated, with everything needed to forward it.
 pub(crate) struct Call {
@@ -40,8 +40,8 @@
     pub(crate) uri: Uri,
     /// Headers of the caller's request, without hop-by-hop headers.
     pub(crate) headers: HeaderMap,
-    /// Parts of the prompt that other calls may have too.
-    pub(crate) shared_parts: Rc<[PartId]>,
+    /// What the call is suspected for if its target ends.
+    pub(crate) fingerprints: Rc<[Fingerprint]>,
     /// Body of the caller's request.
     pub(crate) body: Bytes,
     /// When the caller's timeout or the route's timeout ends, whichever is earlier.
@@ -155,7 +155,7 @@
     output_tokens: u64,
     is_ended: bool,
     /// Trial that the call is; [`None`] if it is none.
-    pub(crate) trial: Option<PartTrial<P>>,
+    pub(crate) trial: Option<PoisonTrial<P>>,
     /// Log entry of the call.
     pub(crate) log: CallLog,
 }
@@ -267,7 +267,7 @@
 pub(crate) struct InFlightCall<P: Platform> {
     gateway: Rc<Gateway<P>>,
     target: Rc<TargetEntry>,
-    shared_parts: Rc<[PartId]>,
+    fingerprints: Rc<[Fingerprint]>,
     sent_at_ms: u64,
     first_event_ms: Option<u64>,
     unread_tokens: u64,
@@ -288,7 +288,7 @@
         Self {
             gateway,
             target: Rc::clone(target),
-            shared_parts: Rc::clone(&call.shared_parts),
+            fingerprints: Rc::clone(&call.fingerprints),
             sent_at_ms: now_ms,
             first_event_ms: None,
             unread_tokens,
@@ -309,7 +309,7 @@
     /// Records that the target broke the connection after the call was sent.
     pub(crate) fn record_broken(&self) {
         let call = SuspectCall {
-            shared_parts: self.shared_parts.to_vec(),
+            fingerprints: self.fingerprints.to_vec(),
             sent_at_ms: self.sent_at_ms,
         };
         record_broken_call(&self.gateway, &self.target, call, self.first_event_ms);
--- a/crates/toucan_gateway/src/serving/part_trial.rs
+++ b/crates/toucan_gateway/src/serving/poison_trial.rs
@@ -1,4 +1,4 @@
-//! Holds back calls whose prompts have a part that may end targets.
+//! Holds back calls with a fingerprint that may end targets.
 
 use std::{rc::Rc, time::Duration};
 
@@ -7,8 +7,7 @@
 use crate::{
     Gateway, Platform, Refusal,
     peers::PeerMessage,
-    poison::{PartCheck, join_parts},
-    wire_format::PartId,
+    poison::{Fingerprint, PoisonCheck, join_fingerprints},
 };
 
 use super::{
@@ -16,35 +15,35 @@
     send::Refused,
 };
 
-/// Longest time for which a call waits for the result of another call with a suspected part.
+/// Longest time for which a call waits for the result of another call with a suspected fingerprint.
 const MAX_WAIT_MS: u64 = 1_000;
 
-/// A call that is sent to find out whether parts of its prompt end targets. No other call with these
-/// parts is sent until it is dropped.
-pub(crate) struct PartTrial<P: Platform> {
+/// A call that is sent to find out whether fingerprints end targets. No other call with these
+/// fingerprints is sent until it is dropped.
+pub(crate) struct PoisonTrial<P: Platform> {
     gateway: Rc<Gateway<P>>,
-    parts: Vec<PartId>,
+    fingerprints: Vec<Fingerprint>,
 }
 
-impl<P: Platform> PartTrial<P> {
+impl<P: Platform> PoisonTrial<P> {
     fn begin(gateway: &Rc<Gateway<P>>, call: &Call) -> Self {
         let now_ms = gateway.now_ms();
         let state = &mut *gateway.state.borrow_mut();
-        let parts = state.poison.begin_trial(&call.shared_parts, now_ms);
-        for part in &parts {
-            if state.poison.is_condemned(*part) {
-                state.verdict_outbox.push(*part, now_ms);
+        let fingerprints = state.poison.begin_trial(&call.fingerprints, now_ms);
+        for fingerprint in &fingerprints {
+            if state.poison.is_condemned(*fingerprint) {
+                state.verdict_outbox.push(*fingerprint, now_ms);
             }
         }
         log::info!(
             target: "poison",
             id = call.id.as_str(),
-            parts = join_parts(&parts).as_str();
-            "it is tried whether parts end targets"
+            fingerprints = join_fingerprints(&fingerprints).as_str();
+            "it is tried whether a call ends its target"
         );
         Self {
             gateway: Rc::clone(gateway),
-            parts,
+            fingerprints,
         }
     }
 
@@ -52,29 +51,31 @@
     pub(crate) fn record_broken(&self) {
         let now_ms = self.gateway.now_ms();
         let poison = &mut self.gateway.state.borrow_mut().poison;
-        poison.break_trial(&self.parts, now_ms);
+        poison.break_trial(&self.fingerprints, now_ms);
     }
 
     fn tell(&self, has_begun: bool) {
-        let parts = self.parts.clone();
-        self.gateway
-            .tell_all(PeerMessage::PartTrial { parts, has_begun });
+        let fingerprints = self.fingerprints.clone();
+        self.gateway.tell_all(PeerMessage::PoisonTrial {
+            fingerprints,
+            has_begun,
+        });
     }
 }
 
-impl<P: Platform> Drop for PartTrial<P> {
+impl<P: Platform> Drop for PoisonTrial<P> {
     fn drop(&mut self) {
         self.gateway
             .state
             .borrow_mut()
             .poison
-            .end_trial(&self.parts);
+            .end_trial(&self.fingerprints);
         self.gateway.poison_changed.notify_waiters();
         self.tell(false);
     }
 }
 
-/// Refuses a call at once if a part of its prompt is known to end targets.
+/// Refuses a call at once if a fingerprint is known to end targets.
 pub(crate) fn refuse_condemned<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
@@ -82,18 +83,18 @@
     let now_ms = gateway.now_ms();
     let check = {
         let state = gateway.state.borrow();
-        state.poison.check(&call.shared_parts, false, now_ms)
+        state.poison.check(&call.fingerprints, false, now_ms)
     };
     match check {
-        PartCheck::Condemned { return_ms } => Err(condemned(gateway, call, return_ms)),
+        PoisonCheck::Condemned { return_ms } => Err(condemned(gateway, call, return_ms)),
         _ => Ok(()),
     }
 }
 
-/// Waits until a call may be sent, as far as the parts of its prompt are concerned.
+/// Waits until a call may be sent, as far as its fingerprints are concerned.
 ///
 /// A call that is sent as a trial has `tracker` hold the trial.
-pub(crate) async fn check_parts<P: Platform>(
+pub(crate) async fn check_poison<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     call: &Call,
     tracker: &mut CallTracker<P>,
@@ -108,40 +109,36 @@
         let now_ms = gateway.now_ms();
         let check = {
             let state = gateway.state.borrow();
-            state.poison.check(&call.shared_parts, may_have_run, now_ms)
+            state.poison.check(&call.fingerprints, may_have_run, now_ms)
         };
         match check {
-            PartCheck::Clear => return Ok(()),
-            PartCheck::Trial => {
-                let trial = PartTrial::begin(gateway, call);
+            PoisonCheck::Clear => return Ok(()),
+            PoisonCheck::Trial => {
+                let trial = PoisonTrial::begin(gateway, call);
                 trial.tell(true);
                 tracker.trial = Some(trial);
                 return Ok(());
             }
-            PartCheck::Wait if now_ms < wait_until_ms => {
+            PoisonCheck::Wait if now_ms < wait_until_ms => {
                 let left = Duration::from_millis(wait_until_ms - now_ms);
                 // The loop looks again whether the wait ended by a change or by the timeout.
                 let _elapsed = timeout(left, changed).await;
             }
-            PartCheck::Wait => {
-                return Err((Refusal::PartOnTrial, "the trial takes too long"));
+            PoisonCheck::Wait => {
+                return Err((Refusal::OnTrial, "the trial takes too long"));
+            }
+            PoisonCheck::Suspected => {
+                return Err((Refusal::TargetFailed, "the call may have ended the target"));
             }
-            PartCheck::Suspected => {
-                return Err((
-                    Refusal::TargetFailed,
-                    "a part of the prompt may have ended the target",
-                ));
+            PoisonCheck::Condemned { return_ms } => {
+                return Err(condemned(gateway, call, return_ms));
             }
-            PartCheck::Condemned { return_ms } => return Err(condemned(gateway, call, return_ms)),
         }
     }
 }
 
 fn condemned<P: Platform>(gateway: &Gateway<P>, call: &Call, return_ms: u64) -> Refused {
     let poison = &mut gateway.state.borrow_mut().poison;
-    poison.count_refused(&call.shared_parts);
-    (
-        Refusal::PoisonPart { return_ms },
-        "a part of the prompt ends targets",
-    )
+    poison.count_refused(&call.fingerprints);
+    (Refusal::PoisonCall { return_ms }, "such calls end targets")
 }
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -11,7 +11,7 @@
 use crate::{
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route},
-    poison::join_parts,
+    poison::{Fingerprint, join_fingerprints},
     retries::CallProgress,
     wire_format::CallHead,
 };
@@ -55,7 +55,12 @@
     if let Some(organisation) = &organisation {
         tracker.log.organisation = organisation.name.to_string();
     }
-    tracker.log.shared_parts = join_parts(&head.shared_parts());
+    let fingerprints: Rc<[Fingerprint]> = head
+        .shared_parts()
+        .into_iter()
+        .map(Fingerprint::Part)
+        .collect();
+    tracker.log.shared_parts = join_fingerprints(&fingerprints);
     let id = head.id.clone().ok_or(Refusal::NoId)?;
     let body = read_body(body, config.caller_limits.max_body_bytes).await?;
     let service = route
@@ -74,7 +79,7 @@
         method: parts.method,
         uri: parts.uri,
         headers,
-        shared_parts: head.shared_parts().into(),
+        fingerprints,
         body,
         deadline_ms: began_ms.saturating_add(caller_timeout_ms.min(route.timeout_ms)),
         route,
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -79,7 +79,7 @@
             match end {
                 StreamEnd::Complete => {
                     source.in_flight_call.record_outcome(CallOutcome::Answered);
-                    gateway.report_sound_parts(&call.shared_parts);
+                    gateway.report_sound_call(&call.fingerprints);
                     source.response.release_connection(&gateway.pool, gateway.now_ms());
                     let rest = splitter.finish();
                     if !rest.is_empty() {
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -22,8 +22,8 @@
     choose::{ChosenTarget, choose_for_call, refusal_without_target},
     collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
-    part_trial::check_parts,
     permit_wait::take_permit,
+    poison_trial::check_poison,
 };
 
 /// A usable response of a target.
@@ -78,7 +78,7 @@
             };
             return Err((refusal, "deadline reached"));
         }
-        check_parts(gateway, call, tracker).await?;
+        check_poison(gateway, call, tracker).await?;
         let now_ms = gateway.now_ms();
         let Some(chosen) = choose_for_call(gateway, call, now_ms) else {
             return Err((refusal_without_target(gateway, call), "no target is left"));
@@ -198,7 +198,7 @@
         Ok(ReadResponse::Full(full)) => {
             if full.status.is_success() {
                 tracker.mark_run();
-                gateway.report_sound_parts(&call.shared_parts);
+                gateway.report_sound_call(&call.fingerprints);
             }
             in_flight_call.record_outcome(if full.status.is_server_error() {
                 CallOutcome::Errored
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -13,7 +13,7 @@
 use super::{
     call::{Call, CallTracker},
     choose::refuse_during_pause,
-    part_trial::refuse_condemned,
+    poison_trial::refuse_condemned,
     read_call::read_call,
     relay::relay_events,
     reserve_tokens::reserve_tokens,
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -40,9 +40,9 @@
     pub(crate) permit_granter: PermitGranter,
     /// Calls whose connections broke, until it is known whether their targets have ended.
     pub(crate) broken_calls: BrokenCalls,
-    /// Parts of prompts that may end targets.
+    /// Fingerprints of calls that may end targets.
     pub(crate) poison: PoisonTable,
-    /// Verdicts on such parts that are to be written to the store.
+    /// Verdicts on them that are to be written to the store.
     pub(crate) verdict_outbox: VerdictOutbox,
     /// Whether the targets have been read at least once.
     pub(crate) targets_loaded: bool,
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -157,13 +157,16 @@
     }
     match datagram.message {
         PeerMessage::TargetEnded(ended) => gateway.accept_target_end(ended, &datagram.vm),
-        PeerMessage::PartsSound(parts) => gateway.accept_sound_parts(&parts),
-        PeerMessage::PartTrial { parts, has_begun } => {
+        PeerMessage::Sound(fingerprints) => gateway.accept_sound(&fingerprints),
+        PeerMessage::PoisonTrial {
+            fingerprints,
+            has_begun,
+        } => {
             let poison = &mut gateway.state.borrow_mut().poison;
-            poison.record_trial(&parts, has_begun, now_ms);
+            poison.record_trial(&fingerprints, has_begun, now_ms);
             gateway.poison_changed.notify_waiters();
         }
-        PeerMessage::PartCondemned(verdict) => gateway.accept_verdict(&verdict),
+        PeerMessage::Condemned(verdict) => gateway.accept_verdict(&verdict),
         PeerMessage::Load(calls) => record_peer_load(gateway, datagram.start, &calls, now_ms),
         PeerMessage::AskLoan { lender_start, .. } if lender_start != gateway.start_id() => {
             log::debug!(target: "budget", vm = datagram.vm.as_str(); "a loan request to a former process of this VM was ignored");
--- a/crates/toucan_gateway/src/tasks/verdict_sync.rs
+++ b/crates/toucan_gateway/src/tasks/verdict_sync.rs
@@ -1,4 +1,4 @@
-//! Keeps the verdicts on parts that end targets in the store, so that gateways know them that start later or cannot
+//! Keeps the verdicts on fingerprints that end targets in the store, so that gateways know them that start later or cannot
 //! be reached by datagrams.
 
 use std::{rc::Rc, time::Duration};
@@ -8,9 +8,8 @@
 use crate::{
     Gateway, Platform,
     keyed_log::{AppendError, KeyedRecord, Partition, ReadRecord, Topic},
-    poison::PoisonVerdict,
+    poison::{Fingerprint, PoisonVerdict},
     poison_reports::unix_ms,
-    wire_format::PartId,
 };
 
 use super::{
@@ -73,43 +72,51 @@
             Ok(()) => {
                 health.record_success(gateway.now_ms());
                 let outbox = &mut gateway.state.borrow_mut().verdict_outbox;
-                due.iter().for_each(|part| outbox.remove(*part));
+                due.iter()
+                    .for_each(|fingerprint| outbox.remove(*fingerprint));
             }
             Err(error) => sleep(health.record_failure(&error, gateway.now_ms())).await,
         }
     }
 }
 
-/// Appends the verdict on each part, or deletes the record of a part that has none.
-async fn write<P: Platform>(gateway: &Gateway<P>, parts: &[PartId]) -> Result<(), AppendError> {
+/// Appends the verdict on each fingerprint, or deletes the record of a fingerprint that has none.
+async fn write<P: Platform>(
+    gateway: &Gateway<P>,
+    fingerprints: &[Fingerprint],
+) -> Result<(), AppendError> {
     let mut records = Vec::new();
-    for part in parts {
-        let verdict = gateway.state.borrow().poison.verdict(*part, unix_ms());
+    for fingerprint in fingerprints {
+        let verdict = gateway
+            .state
+            .borrow()
+            .poison
+            .verdict(*fingerprint, unix_ms());
         let value = verdict.map(|verdict| verdict.encode()).transpose();
         records.push(KeyedRecord {
-            key: part.to_string(),
+            key: fingerprint.to_string(),
             value: value.map_err(|error| AppendError::Invalid(error.to_string()))?,
         });
     }
-    // Two gateways that write a part at once write the same, but for the time.
+    // Two gateways that write a fingerprint at once write the same, but for the time.
     gateway.platform.append(VERDICTS, None, &records).await?;
     Ok(())
 }
 
 fn apply_record<P: Platform>(gateway: &Gateway<P>, read: &ReadRecord) {
     let key = read.record.key.as_str();
-    let Ok(part) = u64::from_str_radix(key, 16).map(PartId) else {
-        log::warn!(target: "poison", key = key, offset = read.offset.0; "the key of a verdict is no part, the record is ignored");
+    let Ok(fingerprint) = key.parse::<Fingerprint>() else {
+        log::warn!(target: "poison", key = key, offset = read.offset.0; "the key of a verdict is no fingerprint, the record is ignored");
         return;
     };
     let Some(bytes) = &read.record.value else {
-        lift(gateway, part);
+        lift(gateway, fingerprint);
         return;
     };
     match PoisonVerdict::decode(bytes) {
-        Ok(verdict) if verdict.part == part => apply_verdict(gateway, &verdict),
+        Ok(verdict) if verdict.fingerprint == fingerprint => apply_verdict(gateway, &verdict),
         Ok(_other) => {
-            log::warn!(target: "poison", key = key, offset = read.offset.0; "a verdict is stored under the key of another part and is ignored");
+            log::warn!(target: "poison", key = key, offset = read.offset.0; "a verdict is stored under the key of another fingerprint and is ignored");
         }
         Err(error) => {
             log::warn!(target: "poison", key = key, offset = read.offset.0, error:% = error; "a verdict cannot be read and is ignored");
@@ -120,7 +127,8 @@
 fn apply_verdict<P: Platform>(gateway: &Gateway<P>, verdict: &PoisonVerdict) {
     let is_lifted_here = {
         let state = gateway.state.borrow();
-        state.verdict_outbox.contains(verdict.part) && !state.poison.is_condemned(verdict.part)
+        state.verdict_outbox.contains(verdict.fingerprint)
+            && !state.poison.is_condemned(verdict.fingerprint)
     };
     if is_lifted_here {
         // The record was written before the deletion that this gateway is about to write.
@@ -129,44 +137,44 @@
     gateway.accept_verdict(verdict);
     let state = &mut *gateway.state.borrow_mut();
     if state.poison.knows_no_more_than(verdict) {
-        state.verdict_outbox.remove(verdict.part);
+        state.verdict_outbox.remove(verdict.fingerprint);
     }
 }
 
 /// Lifts a verdict whose record was deleted, unless this gateway is about to write it.
-fn lift<P: Platform>(gateway: &Gateway<P>, part: PartId) {
+fn lift<P: Platform>(gateway: &Gateway<P>, fingerprint: Fingerprint) {
     let state = &mut *gateway.state.borrow_mut();
-    if !state.poison.is_condemned(part) {
-        state.verdict_outbox.remove(part);
-    } else if !state.verdict_outbox.contains(part) {
-        state.poison.lift(part);
-        log::warn!(target: "poison", part:% = part; "the verdict was deleted in the store, calls with the part are served again");
+    if !state.poison.is_condemned(fingerprint) {
+        state.verdict_outbox.remove(fingerprint);
+    } else if !state.verdict_outbox.contains(fingerprint) {
+        state.poison.lift(fingerprint);
+        log::warn!(target: "poison", fingerprint:% = fingerprint; "the verdict was deleted in the store, calls with the fingerprint are served again");
     }
 }
 
 /// Lifts the verdicts that are missing from a snapshot: their records were deleted.
 fn lift_missing<P: Platform>(gateway: &Gateway<P>, records: &[ReadRecord]) {
-    for part in missing(gateway, records) {
-        lift(gateway, part);
+    for fingerprint in missing(gateway, records) {
+        lift(gateway, fingerprint);
     }
 }
 
 /// Writes the verdicts again that a restored store has lost.
 fn write_missing<P: Platform>(gateway: &Gateway<P>, records: &[ReadRecord]) {
     let now_ms = gateway.now_ms();
-    for part in missing(gateway, records) {
+    for fingerprint in missing(gateway, records) {
         let state = &mut *gateway.state.borrow_mut();
         state
             .verdict_outbox
-            .push_backup(part, gateway.start_id(), now_ms);
+            .push_backup(fingerprint, gateway.start_id(), now_ms);
     }
     gateway.verdicts_changed.notify_one();
 }
 
-fn missing<P: Platform>(gateway: &Gateway<P>, records: &[ReadRecord]) -> Vec<PartId> {
+fn missing<P: Platform>(gateway: &Gateway<P>, records: &[ReadRecord]) -> Vec<Fingerprint> {
     let state = gateway.state.borrow();
-    let is_listed = |part: &PartId| {
-        let key = part.to_string();
+    let is_listed = |fingerprint: &Fingerprint| {
+        let key = fingerprint.to_string();
         records
             .iter()
             .any(|read| read.record.key == key && read.record.value.is_some())
@@ -174,6 +182,6 @@
     state
         .poison
         .condemned()
-        .filter(|part| !is_listed(part))
+        .filter(|fingerprint| !is_listed(fingerprint))
         .collect()
 }
--- a/crates/toucan_gateway/tests/poison_fleet/mod.rs
+++ b/crates/toucan_gateway/tests/poison_fleet/mod.rs
@@ -5,7 +5,8 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use toucan_gateway::{
     poison::{
-        BrokenCalls, PartCheck, PoisonTable, PoisonVerdict, SuspectCall, TargetEnd, TargetInstance,
+        BrokenCalls, Fingerprint, PoisonCheck, PoisonTable, PoisonVerdict, SuspectCall, TargetEnd,
+        TargetInstance,
     },
     wire_format::PartId,
 };
@@ -34,14 +35,14 @@
     pub targets: usize,
     /// Sound calls per second.
     pub sound_per_s: u64,
-    /// Calls per second with each poisonous part; none if there is no such part.
+    /// Calls per second with each poisonous fingerprint; none if there is no such fingerprint.
     pub poison_per_s: u64,
-    /// Number of poisonous parts.
+    /// Number of poisonous fingerprints.
     pub poison_parts: u64,
-    /// Number of parts that sound calls have first, and of those that they have second.
+    /// Number of fingerprints that sound calls have first, and of those that they have second.
     pub first_parts: u64,
     pub second_parts: u64,
-    /// Whether calls with a poisonous part have only one first part.
+    /// Whether calls with a poisonous fingerprint have only one first fingerprint.
     pub is_first_part_fixed: bool,
     /// Whether a call is retried once at another target.
     pub is_retried: bool,
@@ -49,7 +50,7 @@
     pub trouble: Trouble,
 }
 
-/// What ends targets or connections beside poisonous parts.
+/// What ends targets or connections beside poisonous fingerprints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
     /// Nothing.
@@ -66,12 +67,12 @@
 /// What was seen in a history.
 #[derive(Debug, Default)]
 pub struct Outcome {
-    /// When targets ended by the first poisonous part.
+    /// When targets ended by the first poisonous fingerprint.
     pub poison_ends_ms: Vec<u64>,
-    /// When calls with the first poisonous part were sent.
+    /// When calls with the first poisonous fingerprint were sent.
     pub poison_sends_ms: Vec<u64>,
     pub sound_calls: usize,
-    /// When sound calls were refused because one of their parts was condemned.
+    /// When sound calls were refused because one of their fingerprints was condemned.
     pub sound_condemned_ms: Vec<u64>,
     /// When sound calls were refused because they waited too long for a trial, or were retried.
     pub sound_held_ms: Vec<u64>,
@@ -80,13 +81,13 @@
 #[derive(Clone, Debug)]
 struct SimCall {
     gateway: usize,
-    parts: Vec<PartId>,
+    fingerprints: Vec<Fingerprint>,
     poison: Option<u64>,
     arrived_ms: u64,
     sent_at_ms: u64,
     first_event_ms: Option<u64>,
     is_retry: bool,
-    trial: Vec<PartId>,
+    trial: Vec<Fingerprint>,
     target: usize,
     is_over: bool,
 }
@@ -140,8 +141,8 @@
     cut: (usize, u64),
     calls: Vec<SimCall>,
     ends: Vec<TargetEnd>,
-    sounds: Vec<Vec<PartId>>,
-    trials: Vec<(Vec<PartId>, bool)>,
+    sounds: Vec<Vec<Fingerprint>>,
+    trials: Vec<(Vec<Fingerprint>, bool)>,
     verdicts: Vec<PoisonVerdict>,
     outcome: Outcome,
 }
@@ -214,12 +215,12 @@
                 self.tables[gateway].lift_explained();
             }
             Event::SoundTold { gateway, message } => {
-                let parts = self.sounds[message].clone();
-                self.tables[gateway].record_sound(&parts);
+                let fingerprints = self.sounds[message].clone();
+                self.tables[gateway].record_sound(&fingerprints);
             }
             Event::TrialTold { gateway, message } => {
-                let (parts, has_begun) = self.trials[message].clone();
-                self.tables[gateway].record_trial(&parts, has_begun, self.now_ms);
+                let (fingerprints, has_begun) = self.trials[message].clone();
+                self.tables[gateway].record_trial(&fingerprints, has_begun, self.now_ms);
             }
             Event::VerdictTold { gateway, message } => {
                 let verdict = self.verdicts[message].clone();
@@ -255,7 +256,10 @@
         );
         let call = SimCall {
             gateway: self.random.random_range(0..plan.gateways),
-            parts: vec![PartId(first), PartId(second)],
+            fingerprints: vec![
+                Fingerprint::Part(PartId(first)),
+                Fingerprint::Part(PartId(second)),
+            ],
             poison,
             arrived_ms: self.now_ms,
             sent_at_ms: 0,
@@ -272,26 +276,27 @@
 
     fn admit(&mut self, at: usize) {
         let call = self.calls[at].clone();
-        let check = self.tables[call.gateway].check(&call.parts, call.is_retry, self.now_ms);
+        let check = self.tables[call.gateway].check(&call.fingerprints, call.is_retry, self.now_ms);
         match check {
-            PartCheck::Clear => self.send(at),
-            PartCheck::Trial => {
-                let parts = self.tables[call.gateway].begin_trial(&call.parts, self.now_ms);
-                self.calls[at].trial.clone_from(&parts);
-                self.store_verdicts(call.gateway, &parts);
-                self.tell_trial(call.gateway, parts, true);
+            PoisonCheck::Clear => self.send(at),
+            PoisonCheck::Trial => {
+                let fingerprints =
+                    self.tables[call.gateway].begin_trial(&call.fingerprints, self.now_ms);
+                self.calls[at].trial.clone_from(&fingerprints);
+                self.store_verdicts(call.gateway, &fingerprints);
+                self.tell_trial(call.gateway, fingerprints, true);
                 self.send(at);
             }
-            PartCheck::Wait if self.now_ms < call.arrived_ms + MAX_WAIT_MS => {
+            PoisonCheck::Wait if self.now_ms < call.arrived_ms + MAX_WAIT_MS => {
                 self.push(WAIT_STEP_MS, Event::Admit(at));
             }
-            PartCheck::Wait | PartCheck::Suspected if call.poison.is_none() => {
+            PoisonCheck::Wait | PoisonCheck::Suspected if call.poison.is_none() => {
                 self.outcome.sound_held_ms.push(self.now_ms);
             }
-            PartCheck::Condemned { .. } if call.poison.is_none() => {
+            PoisonCheck::Condemned { .. } if call.poison.is_none() => {
                 self.outcome.sound_condemned_ms.push(self.now_ms);
             }
-            PartCheck::Wait | PartCheck::Suspected | PartCheck::Condemned { .. } => {}
+            PoisonCheck::Wait | PoisonCheck::Suspected | PoisonCheck::Condemned { .. } => {}
         }
     }
 
@@ -334,7 +339,7 @@
             return;
         }
         let call = self.calls[at].clone();
-        let sound = self.tables[call.gateway].record_sound(&call.parts);
+        let sound = self.tables[call.gateway].record_sound(&call.fingerprints);
         if !sound.cleared.is_empty() {
             self.sounds.push(sound.cleared);
             let message = self.sounds.len() - 1;
@@ -377,7 +382,7 @@
             self.tables[call.gateway].break_trial(&call.trial, self.now_ms);
             self.end_trial(&call);
             let suspect = SuspectCall {
-                shared_parts: call.parts.clone(),
+                fingerprints: call.fingerprints.clone(),
                 sent_at_ms: call.sent_at_ms,
             };
             let is_first = self.broken[call.gateway].record(
@@ -431,10 +436,10 @@
         self.store_verdicts(gateway, &condemned);
     }
 
-    /// Writes the verdicts on parts to the store, which all gateways read.
-    fn store_verdicts(&mut self, gateway: usize, parts: &[PartId]) {
-        for part in parts {
-            let Some(verdict) = self.tables[gateway].verdict(*part, 0) else {
+    /// Writes the verdicts on fingerprints to the store, which all gateways read.
+    fn store_verdicts(&mut self, gateway: usize, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            let Some(verdict) = self.tables[gateway].verdict(*fingerprint, 0) else {
                 continue;
             };
             self.verdicts.push(verdict);
@@ -445,8 +450,8 @@
         }
     }
 
-    fn tell_trial(&mut self, sender: usize, parts: Vec<PartId>, has_begun: bool) {
-        self.trials.push((parts, has_begun));
+    fn tell_trial(&mut self, sender: usize, fingerprints: Vec<Fingerprint>, has_begun: bool) {
+        self.trials.push((fingerprints, has_begun));
         let message = self.trials.len() - 1;
         self.tell(sender, DATAGRAM_MS, |gateway| Event::TrialTold {
             gateway,
--- a/crates/toucan_gateway/tests/poison_histories.rs
+++ b/crates/toucan_gateway/tests/poison_histories.rs
@@ -1,4 +1,4 @@
-//! Guards against parts that end many targets before all gateways refuse them, and against sound parts
+//! Guards against fingerprints that end many targets before all gateways refuse them, and against sound fingerprints
 //! that are condemned with them. Fleets are simulated, with the decisions of the real gateways.
 
 mod poison_fleet;
@@ -10,11 +10,11 @@
 const HISTORIES: u64 = 40;
 /// Number of ended targets after which the users count calls that are still sent.
 const COUNTED_ENDS: usize = 5;
-/// Calls with the part that may be sent later than this, trials among them. The users allow as many
+/// Calls with the fingerprint that may be sent later than this, trials among them. The users allow as many
 /// after three seconds.
 const MAX_LATE_SENDS: usize = 3;
 const LATE_MS: u64 = 1_000;
-/// Time after the third end by which a wrong verdict on a sound part is lifted.
+/// Time after the third end by which a wrong verdict on a sound fingerprint is lifted.
 const HEALED_MS: u64 = 15_000;
 
 const PLAN: Plan = Plan {
@@ -30,7 +30,7 @@
     trouble: Trouble::None,
 };
 
-/// Returns the number of calls with the first poisonous part that were sent late.
+/// Returns the number of calls with the first poisonous fingerprint that were sent late.
 fn late_sends(outcome: &Outcome) -> usize {
     let Some(fifth_ms) = outcome.poison_ends_ms.get(COUNTED_ENDS - 1) else {
         return 0;
@@ -40,7 +40,7 @@
         .count()
 }
 
-/// Plays all histories of a plan, in which no call with the first poisonous part may be sent late, and
+/// Plays all histories of a plan, in which no call with the first poisonous fingerprint may be sent late, and
 /// returns the part of the sound calls that were refused, in a thousand.
 fn play(plan: Plan) -> f64 {
     let mut sound_calls = 0;
@@ -66,9 +66,9 @@
 /// Sound calls that may be refused, in a thousand, while something ends targets.
 const MAX_REFUSED_PERMILLE: f64 = 1.0;
 
-#[test_case(PLAN; "one part")]
-#[test_case(Plan { is_first_part_fixed: true, first_parts: 40, ..PLAN }; "always with the same rare first part")]
-#[test_case(Plan { poison_parts: 2, ..PLAN }; "two parts at once")]
+#[test_case(PLAN; "one fingerprint")]
+#[test_case(Plan { is_first_part_fixed: true, first_parts: 40, ..PLAN }; "always with the same rare first fingerprint")]
+#[test_case(Plan { poison_parts: 2, ..PLAN }; "two fingerprints at once")]
 #[test_case(Plan { is_retried: true, ..PLAN }; "calls that are retried")]
 #[test_case(Plan { trouble: Trouble::Racks, ..PLAN }; "racks that end beside")]
 #[test_case(Plan { gateways: 30, targets: 45, sound_per_s: 200, second_parts: 400, ..PLAN }; "many gateways")]
--- a/crates/toucan_gateway/tests/poison_table.rs
+++ b/crates/toucan_gateway/tests/poison_table.rs
@@ -4,19 +4,19 @@
 use test_case::test_case;
 use toucan_gateway::{
     poison::{
-        ENDS_TO_CONDEMN, ENDS_TO_RESTRICT, PartCheck, PoisonTable, SuspectCall, TargetEnd,
-        TargetInstance,
+        ENDS_TO_CONDEMN, ENDS_TO_RESTRICT, Fingerprint, PoisonCheck, PoisonTable, SuspectCall,
+        TargetEnd, TargetInstance,
     },
     wire_format::PartId,
 };
 use toucan_types::TargetName;
 
-const A: PartId = PartId(0xa);
-const B: PartId = PartId(0xb);
-const C: PartId = PartId(0xc);
+const A: Fingerprint = Fingerprint::Part(PartId(0xa));
+const B: Fingerprint = Fingerprint::Part(PartId(0xb));
+const C: Fingerprint = Fingerprint::Part(PartId(0xc));
 /// Time between two ends.
 const INTERVAL_MS: u64 = 1_000;
-/// Number of calls with a condemned part that the users allow.
+/// Number of calls with a condemned fingerprint that the users allow.
 const MAX_TRIALS: usize = 3;
 
 fn instance(at: u64) -> TargetInstance {
@@ -26,33 +26,33 @@
     }
 }
 
-/// Returns the end of target `at`, which held a call with these parts.
-fn end(at: u64, shared_parts: &[PartId]) -> TargetEnd {
+/// Returns the end of target `at`, which held a call with these fingerprints.
+fn end(at: u64, fingerprints: &[Fingerprint]) -> TargetEnd {
     TargetEnd {
         instance: instance(at),
         ended_at_ms: at * INTERVAL_MS,
         broken_calls: 1,
         suspects: vec![SuspectCall {
-            shared_parts: shared_parts.to_vec(),
+            fingerprints: fingerprints.to_vec(),
             sent_at_ms: at * INTERVAL_MS - 100,
         }],
     }
 }
 
-/// Returns a table that has seen `ends` targets end under these parts, and the time after that.
-fn table_after(ends: usize, shared_parts: &[PartId]) -> (PoisonTable, u64) {
+/// Returns a table that has seen `ends` targets end under these fingerprints, and the time after that.
+fn table_after(ends: usize, fingerprints: &[Fingerprint]) -> (PoisonTable, u64) {
     let mut table = PoisonTable::default();
     let mut now_ms = 0;
     for at in 1..=ends as u64 {
         now_ms = at * INTERVAL_MS + 25;
-        table.record_end(&end(at, shared_parts), now_ms);
+        table.record_end(&end(at, fingerprints), now_ms);
     }
     (table, now_ms)
 }
 
-#[test_case(ENDS_TO_RESTRICT - 1 => PartCheck::Clear; "one end changes nothing")]
-#[test_case(ENDS_TO_RESTRICT => PartCheck::Trial; "two ends")]
-fn calls_are_held_back_after_several_ends(ends: usize) -> PartCheck {
+#[test_case(ENDS_TO_RESTRICT - 1 => PoisonCheck::Clear; "one end changes nothing")]
+#[test_case(ENDS_TO_RESTRICT => PoisonCheck::Trial; "two ends")]
+fn calls_are_held_back_after_several_ends(ends: usize) -> PoisonCheck {
     let (table, now_ms) = table_after(ends, &[A]);
     table.check(&[A], false, now_ms)
 }
@@ -60,16 +60,16 @@
 #[test]
 fn call_that_may_have_ended_a_target_is_not_sent_again() {
     let (table, now_ms) = table_after(ENDS_TO_RESTRICT, &[A]);
-    assert_eq!(table.check(&[A], true, now_ms), PartCheck::Suspected);
+    assert_eq!(table.check(&[A], true, now_ms), PoisonCheck::Suspected);
 }
 
 #[test]
 fn one_call_is_tried_at_a_time_while_a_part_is_suspected() {
     let (mut table, now_ms) = table_after(ENDS_TO_RESTRICT, &[A]);
     assert_eq!(table.begin_trial(&[A], now_ms), [A]);
-    assert_eq!(table.check(&[A], false, now_ms), PartCheck::Wait);
+    assert_eq!(table.check(&[A], false, now_ms), PoisonCheck::Wait);
     table.end_trial(&[A]);
-    assert_eq!(table.check(&[A], false, now_ms), PartCheck::Trial);
+    assert_eq!(table.check(&[A], false, now_ms), PoisonCheck::Trial);
 }
 
 #[test]
@@ -78,7 +78,7 @@
     let mut trials = 0;
     for step in 0..10_000 {
         now_ms += 60_000;
-        if table.check(&[A], false, now_ms) != PartCheck::Trial {
+        if table.check(&[A], false, now_ms) != PoisonCheck::Trial {
             continue;
         }
         trials += 1;
@@ -96,14 +96,14 @@
 #[test]
 fn complete_answer_clears_its_parts_and_leaves_the_others() {
     let (mut table, now_ms) = table_after(ENDS_TO_CONDEMN, &[A, B]);
-    assert_eq!(table.check(&[A, C], false, now_ms), PartCheck::Clear);
+    assert_eq!(table.check(&[A, C], false, now_ms), PoisonCheck::Clear);
     let sound = table.record_sound(&[A, C]);
     assert_eq!(sound.lifted, [A]);
     assert_eq!(sound.narrowed, [B]);
     assert!(table.is_condemned(B));
     assert!(matches!(
         table.check(&[C, B], false, now_ms),
-        PartCheck::Condemned { .. }
+        PoisonCheck::Condemned { .. }
     ));
 }
 
@@ -127,14 +127,14 @@
         let together = TargetEnd {
             ended_at_ms: 5_000 + at,
             suspects: vec![SuspectCall {
-                shared_parts: vec![A],
+                fingerprints: vec![A],
                 sent_at_ms: 4_000,
             }],
             ..end(at, &[A])
         };
         table.record_end(&together, 5_050);
     }
-    assert_eq!(table.check(&[A], false, 5_050), PartCheck::Clear);
+    assert_eq!(table.check(&[A], false, 5_050), PoisonCheck::Clear);
 }
 
 #[test]
@@ -143,19 +143,19 @@
     for told_ms in 0..10 {
         table.record_end(&end(1, &[A]), INTERVAL_MS + told_ms * 20);
     }
-    assert_eq!(table.check(&[A], false, 2_000), PartCheck::Clear);
+    assert_eq!(table.check(&[A], false, 2_000), PoisonCheck::Clear);
 }
 
 #[test]
 fn verdict_of_another_gateway_is_in_force_at_one_that_starts() {
     let (told, _now_ms) = table_after(ENDS_TO_CONDEMN, &[A]);
-    let verdict = told.verdict(A, 0).expect("the part is condemned");
+    let verdict = told.verdict(A, 0).expect("the fingerprint is condemned");
     let decoded = toucan_gateway::poison::PoisonVerdict::decode(
         &verdict.encode().expect("a verdict can be encoded"),
     );
     let mut table = PoisonTable::default();
     table.apply_verdict(&decoded.expect("it can be decoded"), 2_000, 50_000);
-    let PartCheck::Condemned { return_ms } = table.check(&[A], false, 50_000) else {
+    let PoisonCheck::Condemned { return_ms } = table.check(&[A], false, 50_000) else {
         panic!("the verdict is not in force");
     };
     assert!(return_ms < 10_000, "{return_ms}");
@@ -166,25 +166,34 @@
     let (mut told, now_ms) = table_after(ENDS_TO_CONDEMN, &[A, B]);
     let (mut table, _now_ms) = table_after(ENDS_TO_CONDEMN, &[A, B]);
     told.record_sound(&[A]);
-    let verdict = told.verdict(B, 0).expect("the part is condemned");
-    assert_eq!(table.check(&[C, B], false, now_ms), PartCheck::Clear);
-    let wider = table.verdict(B, 0).expect("the part is condemned");
+    let verdict = told.verdict(B, 0).expect("the fingerprint is condemned");
+    assert_eq!(table.check(&[C, B], false, now_ms), PoisonCheck::Clear);
+    let wider = table.verdict(B, 0).expect("the fingerprint is condemned");
     table.apply_verdict(&verdict, 0, now_ms);
     assert!(table.knows_no_more_than(&verdict));
     assert!(!table.knows_no_more_than(&wider));
     assert!(matches!(
         table.check(&[C, B], false, now_ms),
-        PartCheck::Condemned { .. }
+        PoisonCheck::Condemned { .. }
     ));
 }
 
 #[test]
 fn flood_of_parts_does_not_fill_the_memory() {
-    const MAX_PARTS: usize = 1_024;
+    const MAX_FINGERPRINTS: usize = 1_024;
     let (mut table, _now_ms) = table_after(ENDS_TO_CONDEMN, &[A]);
     for at in 10..5_000 {
-        table.record_end(&end(at, &[PartId(at * 2), PartId(at * 2 + 1)]), at);
+        table.record_end(
+            &end(
+                at,
+                &[
+                    Fingerprint::Part(PartId(at * 2)),
+                    Fingerprint::Part(PartId(at * 2 + 1)),
+                ],
+            ),
+            at,
+        );
     }
-    assert!(table.len() <= MAX_PARTS, "{}", table.len());
+    assert!(table.len() <= MAX_FINGERPRINTS, "{}", table.len());
     assert!(table.is_condemned(A), "the verdict was forgotten");
 }
