Let a verdict on a repeated call explain the ends near which parts of other calls were

What callers saw: where a repeated call ends all targets of a small service, calls that share a part with others are near at each end, and were refused with it. Cause: a fingerprint counted as explained only by one with more ends, which a call that ends everything does not have. And the kept ends are cut at eight and to those apart from each other, so a deadly fingerprint seemed absent at ends at which it was.

Change: a condemned call explains a part with the same ends, also before that is condemned, and calls are condemned first; all targets near which a fingerprint was are kept to decide this.

--- a/crates/toucan_gateway/src/poison/fingerprint.rs
+++ b/crates/toucan_gateway/src/poison/fingerprint.rs
@@ -22,6 +22,14 @@
     Call(CallDigest),
 }
 
+impl Fingerprint {
+    /// Returns whether it is of a whole call.
+    #[must_use]
+    pub const fn is_call(&self) -> bool {
+        matches!(self, Self::Call(_))
+    }
+}
+
 impl fmt::Display for Fingerprint {
     /// Writes the fingerprint for logs, and as the key of a record.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/toucan_gateway/src/poison/poison_table.rs
+++ b/crates/toucan_gateway/src/poison/poison_table.rs
@@ -90,21 +90,49 @@
                 ended_at_ms: end.ended_at_ms,
                 registered_at_ms: None,
             });
-        let mut condemned = Vec::new();
+        let mut reached = Vec::new();
         for call in &end.suspects {
             for fingerprint in &call.fingerprints {
                 if self.record_suspect(*fingerprint, call, end) {
-                    condemned.push(*fingerprint);
+                    reached.push(*fingerprint);
                 }
             }
         }
-        condemned.retain(|fingerprint| !self.is_explained(*fingerprint));
-        for fingerprint in &condemned {
+        // The verdict on a whole call may explain the ends of the parts beside it.
+        let (calls, parts) = reached.into_iter().partition(Fingerprint::is_call);
+        let mut condemned = self.condemn_unexplained(calls, now_ms);
+        condemned.extend(self.condemn_unexplained(parts, now_ms));
+        self.forget_explained();
+        condemned
+    }
+
+    /// Condemns those of the fingerprints whose ends no other verdict explains, and returns them.
+    fn condemn_unexplained(
+        &mut self,
+        mut fingerprints: Vec<Fingerprint>,
+        now_ms: u64,
+    ) -> Vec<Fingerprint> {
+        fingerprints.retain(|fingerprint| !self.is_explained(*fingerprint));
+        for fingerprint in &fingerprints {
             if let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) {
                 suspicion.condemn(0, true, now_ms, self.seed);
             }
         }
-        condemned
+        fingerprints
+    }
+
+    /// Forgets the parts that are restricted and not condemned, and whose ends verdicts on calls explain.
+    fn forget_explained(&mut self) {
+        let restricted = self.by_fingerprint.iter().filter(|(key, suspicion)| {
+            !key.is_call() && suspicion.is_restricted() && !suspicion.is_condemned()
+        });
+        let explained: Vec<Fingerprint> = restricted
+            .filter(|(_key, suspicion)| self.is_explained_by_calls(suspicion))
+            .map(|(key, _suspicion)| *key)
+            .collect();
+        for fingerprint in &explained {
+            self.by_fingerprint.remove(fingerprint);
+        }
     }
 
     /// Removes and returns the condemned fingerprints that other verdicts have made needless: they were in
@@ -122,26 +150,44 @@
         explained
     }
 
-    /// Returns whether other condemned fingerprints, with ends of their own besides, were suspected at each end
-    /// of a target that held a call with the fingerprint.
+    /// Returns whether better verdicts on others explain each end of a target that held a call with the
+    /// fingerprint. A verdict is better if it rests on more ends, or on a whole call.
     fn is_explained(&self, fingerprint: Fingerprint) -> bool {
         let Some(suspicion) = self.by_fingerprint.get(&fingerprint) else {
             return false;
         };
         let has_more_ends = |other: &Suspicion| {
             let mut ends = other.ended_instances();
-            ends.any(|instance| !suspicion.has_end(instance))
+            ends.any(|instance| !suspicion.was_near(instance))
         };
-        let others: Vec<&Suspicion> = self
-            .by_fingerprint
+        let is_part = !fingerprint.is_call();
+        suspicion.is_covered_by(
+            self.condemned_beside(suspicion)
+                .filter(|(key, other)| is_part && key.is_call() || has_more_ends(other))
+                .map(|(_key, other)| other),
+        )
+    }
+
+    /// Returns whether verdicts on whole calls explain each end of a target that held a call with a part.
+    ///
+    /// Many calls have a part, and few come again just when another target ends.
+    fn is_explained_by_calls(&self, suspicion: &Suspicion) -> bool {
+        suspicion.is_covered_by(
+            self.condemned_beside(suspicion)
+                .filter(|(key, _other)| key.is_call())
+                .map(|(_key, other)| other),
+        )
+    }
+
+    /// Returns the condemned fingerprints that were not in all suspect calls with another one.
+    fn condemned_beside<'a>(
+        &'a self,
+        suspicion: &'a Suspicion,
+    ) -> impl Iterator<Item = (&'a Fingerprint, &'a Suspicion)> {
+        self.by_fingerprint
             .iter()
-            .filter(|(other, _suspicion)| !suspicion.companions().contains(other))
-            .map(|(_other, suspicion)| suspicion)
-            .filter(|other| other.is_condemned() && has_more_ends(other))
-            .collect();
-        suspicion
-            .ended_instances()
-            .all(|instance| others.iter().any(|other| other.has_end(instance)))
+            .filter(|(_key, other)| other.is_condemned())
+            .filter(|(key, _other)| !suspicion.companions().contains(key))
     }
 
     fn record_suspect(
--- a/crates/toucan_gateway/src/poison/suspicion.rs
+++ b/crates/toucan_gateway/src/poison/suspicion.rs
@@ -14,6 +14,8 @@
 const MIN_GAP_MS: u64 = 150;
 /// Maximum number of ends that are kept. More say nothing new.
 const MAX_ENDS: usize = 8;
+/// Maximum number of ended targets that are kept to tell whether one fingerprint explains another's ends.
+const MAX_NEAR: usize = 64;
 /// Longest time that a trial may take.
 const MAX_TRIAL_MS: u64 = 10_000;
 /// Time in which it is found out whether a target that broke off a trial has ended.
@@ -31,6 +33,8 @@
 pub(super) struct Suspicion {
     /// Targets that ended while they held a call with the fingerprint, one after the other.
     ends: Vec<SuspectEnd>,
+    /// All targets that ended while they held a call with the fingerprint, also together with others.
+    near: Vec<TargetInstance>,
     /// Fingerprints that all suspect calls with this fingerprint had, with this fingerprint. It is not known which of them
     /// ended the targets.
     companions: Vec<Fingerprint>,
@@ -83,6 +87,7 @@
     pub(super) fn new(companions: Vec<Fingerprint>) -> Self {
         Self {
             ends: Vec::new(),
+            near: Vec::new(),
             companions,
             trial: None,
             verdict: None,
@@ -107,6 +112,9 @@
             sent_at_ms,
             ended_at_ms,
         };
+        if !self.near.contains(instance) && self.near.len() < MAX_NEAR {
+            self.near.push(instance.clone());
+        }
         if let Some(known) = self.ends.iter_mut().find(|end| end.instance == *instance) {
             // Another gateway has seen the same end, perhaps sooner.
             known.ended_at_ms = known.ended_at_ms.min(ended_at_ms);
@@ -136,6 +144,7 @@
     /// Forgets an end that was none. Returns whether this lifts the verdict.
     pub(super) fn refute_end(&mut self, instance: &TargetInstance) -> bool {
         let before = self.ends.len();
+        self.near.retain(|near| near != instance);
         self.ends.retain(|end| end.instance != *instance);
         let is_refuted = self.ends.len() < before && self.ends.len() < ENDS_TO_CONDEMN;
         let was_own = self.verdict.is_some_and(|verdict| verdict.is_own);
@@ -269,9 +278,16 @@
         self.ends.iter().map(|end| &end.instance)
     }
 
-    /// Returns whether a target ended under the fingerprint.
-    pub(super) fn has_end(&self, instance: &TargetInstance) -> bool {
-        self.ended_instances().any(|ended| ended == instance)
+    /// Returns whether each target that ended under the fingerprint also ended under one of the others.
+    pub(super) fn is_covered_by<'a>(&self, others: impl Iterator<Item = &'a Self>) -> bool {
+        let others: Vec<&Self> = others.collect();
+        self.ended_instances()
+            .all(|instance| others.iter().any(|other| other.was_near(instance)))
+    }
+
+    /// Returns whether a target ended that held a call with the fingerprint.
+    pub(super) fn was_near(&self, instance: &TargetInstance) -> bool {
+        self.near.contains(instance)
     }
 
     /// Returns the number of targets that ended under the fingerprint.
--- a/crates/toucan_gateway/tests/poison_fleet/mod.rs
+++ b/crates/toucan_gateway/tests/poison_fleet/mod.rs
@@ -1,6 +1,6 @@
 //! A simulated fleet of gateways with the decisions of the real ones, between targets that end.
 
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{cmp::Reverse, collections::BinaryHeap, ops::Range};
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use toucan_gateway::{
@@ -23,6 +23,8 @@
 const DATAGRAMS_PER_LOSS: u32 = 100;
 /// Time that a verdict takes by the store.
 const STORE_MS: u64 = 20;
+/// Time until a gateway that lifts a verdict deletes it in the store.
+const DELETION_MS: Range<u64> = 1_000..5_000;
 /// Interval of registrations of a live target.
 const REGISTRATION_MS: u64 = 1_200;
 /// Time between two checks of a call that waits for a trial, and the longest wait.
@@ -124,6 +126,10 @@
         gateway: usize,
         message: usize,
     },
+    VerdictDeleted {
+        gateway: usize,
+        fingerprint: Fingerprint,
+    },
     Restart(usize),
     Registrations,
     Trouble,
@@ -222,7 +228,7 @@
             Event::EndTold { gateway, message } => {
                 let end = self.ends[message].clone();
                 self.tables[gateway].record_end(&end, self.now_ms);
-                self.tables[gateway].lift_explained();
+                self.lift_explained(gateway);
             }
             Event::SoundTold { gateway, message } => {
                 let fingerprints = self.sounds[message].clone();
@@ -236,6 +242,12 @@
                 let verdict = self.verdicts[message].clone();
                 self.tables[gateway].apply_verdict(&verdict, 0, self.now_ms);
             }
+            Event::VerdictDeleted {
+                gateway,
+                fingerprint,
+            } => {
+                self.tables[gateway].lift(fingerprint);
+            }
             Event::Restart(target) => {
                 self.targets[target].0 += 1;
                 self.targets[target].1 = true;
@@ -352,6 +364,13 @@
         if std::mem::replace(&mut self.calls[at].is_over, true) {
             return;
         }
+        self.report_sound(at);
+        let call = self.calls[at].clone();
+        self.end_trial(&call);
+    }
+
+    /// Tells that an answer has been written for longer than one that ends its target.
+    fn report_sound(&mut self, at: usize) {
         let call = self.calls[at].clone();
         let sound = self.tables[call.gateway].record_sound(&call.fingerprints);
         if !sound.cleared.is_empty() {
@@ -362,7 +381,6 @@
                 message,
             });
         }
-        self.end_trial(&call);
     }
 
     fn end_trial(&mut self, call: &SimCall) {
@@ -440,7 +458,7 @@
             return;
         }
         let condemned = self.tables[gateway].record_end(&end, self.now_ms);
-        self.tables[gateway].lift_explained();
+        self.lift_explained(gateway);
         self.ends.push(end);
         let message = self.ends.len() - 1;
         self.tell(gateway, DATAGRAM_MS, |gateway| Event::EndTold {
@@ -450,6 +468,22 @@
         self.store_verdicts(gateway, &condemned);
     }
 
+    /// Lifts the verdicts that others explain, and deletes them in the store, which all gateways read.
+    fn lift_explained(&mut self, gateway: usize) {
+        for fingerprint in self.tables[gateway].lift_explained() {
+            let delay_ms = self.random.random_range(DELETION_MS) + STORE_MS;
+            for gateway in 0..self.plan.gateways {
+                self.push(
+                    delay_ms,
+                    Event::VerdictDeleted {
+                        gateway,
+                        fingerprint,
+                    },
+                );
+            }
+        }
+    }
+
     /// Writes the verdicts on fingerprints to the store, which all gateways read.
     fn store_verdicts(&mut self, gateway: usize, fingerprints: &[Fingerprint]) {
         for fingerprint in fingerprints {
--- a/crates/toucan_gateway/tests/poison_table.rs
+++ b/crates/toucan_gateway/tests/poison_table.rs
@@ -4,8 +4,8 @@
 use test_case::test_case;
 use toucan_gateway::{
     poison::{
-        ENDS_TO_CONDEMN, ENDS_TO_RESTRICT, Fingerprint, PoisonCheck, PoisonTable, SuspectCall,
-        TargetEnd, TargetInstance,
+        CallDigest, ENDS_TO_CONDEMN, ENDS_TO_RESTRICT, Fingerprint, PoisonCheck, PoisonTable,
+        SuspectCall, TargetEnd, TargetInstance,
     },
     wire_format::PartId,
 };
@@ -197,3 +197,27 @@
     assert!(table.len() <= MAX_FINGERPRINTS, "{}", table.len());
     assert!(table.is_condemned(A), "the verdict was forgotten");
 }
+
+fn repeated_call() -> Fingerprint {
+    let digest = CallDigest::from_hex("000102030405060708090a0b0c0d0e0f");
+    Fingerprint::Call(digest.expect("the text is a digest"))
+}
+
+/// In a small service, calls with a common part are at each target that a repeated call ends.
+#[test]
+fn part_that_was_near_at_each_end_of_a_repeated_call_is_served() {
+    let mut table = PoisonTable::default();
+    for at in 1..=ENDS_TO_CONDEMN as u64 {
+        let mut end = end(at, &[repeated_call()]);
+        end.suspects.push(SuspectCall {
+            fingerprints: vec![A],
+            sent_at_ms: end.ended_at_ms - 100,
+        });
+        table.record_end(&end, end.ended_at_ms);
+        table.lift_explained();
+    }
+    assert!(table.is_condemned(repeated_call()));
+    assert!(!table.is_condemned(A));
+    let now_ms = ENDS_TO_CONDEMN as u64 * INTERVAL_MS;
+    assert_eq!(table.check(&[A], false, now_ms), PoisonCheck::Clear);
+}
