Take an answer that has been written for 300 ms as evidence that its call ends no target

What callers saw: calls with a part whose answers take seconds were refused with 503, when targets had ended near three of them; and a sound part that was condemned explained the ends of the deadly ones, so that those were sent on. Cause: a call was found sound only when its answer was complete, although a target that a call ends does so within 300 ms of the beginning of its answer, which the choice of suspects already relies on. Change: each further event of an answer that is 300 ms old, at most every 250 ms, counts as a complete answer does.

--- a/crates/toucan_gateway/src/poison/broken_calls.rs
+++ b/crates/toucan_gateway/src/poison/broken_calls.rs
@@ -5,8 +5,8 @@
 use super::{SuspectCall, TargetEnd, TargetInstance};
 
 /// Age of an answer up to which its call may be what ended its target. A target that has written for
-/// longer did not end because it began to write.
-const MAX_ANSWER_AGE_MS: u64 = 300;
+/// longer did not end because it began to write, and such a call ends no target.
+pub const SOUND_AFTER_MS: u64 = 300;
 /// Maximum number of suspects that are kept for one target.
 const MAX_SUSPECTS: usize = 64;
 
@@ -43,7 +43,7 @@
             });
         end.broken_calls += 1;
         let has_just_begun =
-            first_event_ms.is_none_or(|began_ms| now_ms <= began_ms + MAX_ANSWER_AGE_MS);
+            first_event_ms.is_none_or(|began_ms| now_ms <= began_ms + SOUND_AFTER_MS);
         let is_suspect = has_just_begun && !call.fingerprints.is_empty();
         if is_suspect && end.suspects.len() < MAX_SUSPECTS {
             end.suspects.push(call);
--- a/crates/toucan_gateway/src/poison/mod.rs
+++ b/crates/toucan_gateway/src/poison/mod.rs
@@ -13,7 +13,7 @@
 mod target_end;
 mod verdict_outbox;
 
-pub use broken_calls::BrokenCalls;
+pub use broken_calls::{BrokenCalls, SOUND_AFTER_MS};
 pub use call_digest::{CallDigest, CallIdentity};
 pub use fingerprint::{Fingerprint, FingerprintError};
 pub use poison_table::{PoisonCheck, PoisonTable, SoundOutcome};
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -11,7 +11,7 @@
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     placement::CallOutcome,
-    poison::{CallDigest, CallIdentity, Fingerprint, SuspectCall},
+    poison::{CallDigest, CallIdentity, Fingerprint, SOUND_AFTER_MS, SuspectCall},
     retries::{CallProgress, SendFailure},
     streams::StreamOrigin,
     tasks::target_check::record_broken_call,
@@ -270,12 +270,17 @@
     }
 }
 
+/// Shortest time between two reports that the progress of an answer gives rise to.
+const SOUND_REPORT_INTERVAL_MS: u64 = 250;
+
 /// Guard that counts a call as in flight at a target until it is dropped.
 pub(crate) struct InFlightCall<P: Platform> {
     gateway: Rc<Gateway<P>>,
     target: Rc<TargetEntry>,
     sent_at_ms: u64,
     first_event_ms: Option<u64>,
+    /// When progress of the answer next shows that the call does not end its target.
+    sound_report_ms: u64,
     unread_tokens: u64,
 }
 
@@ -296,6 +301,7 @@
             target: Rc::clone(target),
             sent_at_ms: now_ms,
             first_event_ms: None,
+            sound_report_ms: u64::MAX,
             unread_tokens,
         }
     }
@@ -307,10 +313,22 @@
 
     /// Records the first event of the response, which shows that the target has read the prompt.
     pub(crate) fn record_first_event(&mut self) {
-        self.first_event_ms = Some(self.gateway.now_ms());
+        let now_ms = self.gateway.now_ms();
+        self.first_event_ms = Some(now_ms);
+        self.sound_report_ms = now_ms + SOUND_AFTER_MS;
         self.clear_unread_tokens();
     }
 
+    /// Records that more of the answer has arrived. A call whose answer has been written for some time does
+    /// not end its target.
+    pub(crate) fn record_progress(&mut self, call: &Call) {
+        let now_ms = self.gateway.now_ms();
+        if now_ms >= self.sound_report_ms {
+            self.sound_report_ms = now_ms + SOUND_REPORT_INTERVAL_MS;
+            self.gateway.report_sound_call(call);
+        }
+    }
+
     /// Records that the target broke the connection after the call was sent.
     pub(crate) fn record_broken(&self, call: &Call) {
         let call = SuspectCall {
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -52,6 +52,7 @@
                         }
                         tracker.set_output_tokens(splitter.events() * tokens_per_event);
                         tracker.log.record_progress(&splitter);
+                        source.in_flight_call.record_progress(&call);
                         yield complete_events;
                     }
                 if splitter.partial_event_bytes() > MAX_EVENT_BYTES {
--- a/crates/toucan_gateway/tests/poison_fleet/mod.rs
+++ b/crates/toucan_gateway/tests/poison_fleet/mod.rs
@@ -5,8 +5,8 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use toucan_gateway::{
     poison::{
-        BrokenCalls, CallDigest, Fingerprint, PoisonCheck, PoisonTable, PoisonVerdict, SuspectCall,
-        TargetEnd, TargetInstance,
+        BrokenCalls, CallDigest, Fingerprint, PoisonCheck, PoisonTable, PoisonVerdict,
+        SOUND_AFTER_MS, SuspectCall, TargetEnd, TargetInstance,
     },
     wire_format::PartId,
 };
@@ -104,6 +104,7 @@
     },
     Admit(usize),
     Begin(usize),
+    Sound(usize),
     Complete(usize),
     CheckTarget {
         gateway: usize,
@@ -217,6 +218,11 @@
             Event::Arrival { is_poison } => self.arrive(is_poison),
             Event::Admit(call) => self.admit(call),
             Event::Begin(call) => self.first_event(call),
+            Event::Sound(call) => {
+                if !self.calls[call].is_over {
+                    self.report_sound(call);
+                }
+            }
             Event::Complete(call) => self.complete(call),
             Event::CheckTarget {
                 gateway,
@@ -356,6 +362,7 @@
             return self.end_target(self.calls[at].target);
         }
         self.calls[at].first_event_ms = Some(self.now_ms);
+        self.push(SOUND_AFTER_MS, Event::Sound(at));
         let rest_ms = self.random.random_range(100..1_200);
         self.push(rest_ms, Event::Complete(at));
     }
--- a/crates/toucan_gateway/tests/poison_histories.rs
+++ b/crates/toucan_gateway/tests/poison_histories.rs
@@ -77,6 +77,7 @@
 #[test_case(Plan { is_same_call: true, is_retried: true, ..PLAN }; "one call that comes again and is retried")]
 #[test_case(Plan { is_same_call: true, poison_parts: 2, ..PLAN }; "two calls that come again")]
 #[test_case(Plan { is_same_call: true, is_retried: true, targets: 4, sound_per_s: 20, first_parts: 1_000_000, second_parts: 1_000_000, ..PLAN }; "one call that comes again at a small service whose calls share no parts")]
+#[test_case(Plan { is_same_call: true, is_retried: true, targets: 4, sound_per_s: 20, second_parts: 40, ..PLAN }; "one call that comes again at a small service whose calls share parts")]
 fn poisonous_calls_are_refused_by_all_gateways(plan: Plan) {
     let refused_permille = play(plan);
     assert!(
@@ -98,6 +99,7 @@
 #[test_case(Trouble::SingleEnds, false, 12; "targets that end one after the other")]
 #[test_case(Trouble::SingleEnds, true, 12; "targets that end under calls that are retried")]
 #[test_case(Trouble::CutGateway, false, 12; "a gateway that is cut off from targets")]
+#[test_case(Trouble::SingleEnds, true, 3; "targets of a small service that end one after the other")]
 #[test_case(Trouble::CutGateway, true, 3; "a gateway that is cut off from targets of a small service")]
 fn sound_calls_are_served_whatever_else_ends_targets(
     trouble: Trouble,
