Keep suspects of one end apart from those of several

What callors would have seen: targets ended without limit where each held many calls with parts of their own, since what ended them was never found. Cause: each end told up to 64 calls of 64 parts, all in one table of 1,024, where among equals the one that came in drove out the one that was there; and each insertion looked through the whole table. Change: a fingerprint begins a suspicion only at its second end. Those of a first end are kept in a table of their own, with the call they came in, so that what a call had in common with the one before is still known; an end cannot drive out the one before.

--- a/crates/toucan_gateway/src/poison/mod.rs
+++ b/crates/toucan_gateway/src/poison/mod.rs
@@ -7,6 +7,7 @@
 mod broken_calls;
 mod call_digest;
 mod fingerprint;
+mod first_ends;
 mod poison_table;
 mod poison_verdict;
 mod suspicion;
--- a/crates/toucan_gateway/src/poison/poison_table.rs
+++ b/crates/toucan_gateway/src/poison/poison_table.rs
@@ -3,7 +3,8 @@
 use toucan_types::FastHashMap;
 
 use super::{
-    Fingerprint, PoisonVerdict, SuspectCall, TargetEnd, TargetInstance, suspicion::Suspicion,
+    Fingerprint, PoisonVerdict, SuspectCall, TargetEnd, TargetInstance, first_ends::FirstEnds,
+    suspicion::Suspicion,
 };
 
 /// Time since the last end of a target after which a suspicion is forgotten, and an end can no longer
@@ -14,7 +15,7 @@
 const REFUTABLE_AFTER_MS: u64 = 2_000;
 /// Time between two such registrations that show it. A single one may have been delayed.
 const REGISTRATION_GAP_MS: u64 = 1_000;
-/// Maximum number of fingerprints that are suspected or condemned.
+/// Maximum number of fingerprints that were near at several ends or are condemned.
 const MAX_FINGERPRINTS: usize = 1_024;
 
 /// Whether a call may be sent, as far as its fingerprints are concerned. A later variant
@@ -55,7 +56,10 @@
 /// them, and the first complete answer on one of them leaves the others.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonTable {
+    /// Fingerprints that were near at the ends of several targets, or are condemned.
     by_fingerprint: FastHashMap<Fingerprint, Suspicion>,
+    /// Fingerprints that were near at the end of one target.
+    first_ends: FirstEnds,
     /// When the targets ended that the suspicions rest on.
     ended: FastHashMap<TargetInstance, EndedInstance>,
     /// Spreads what all gateways would do at the same time.
@@ -92,11 +96,7 @@
             });
         let mut reached = Vec::new();
         for call in &end.suspects {
-            for fingerprint in &call.fingerprints {
-                if self.record_suspect(*fingerprint, call, end) {
-                    reached.push(*fingerprint);
-                }
-            }
+            self.record_suspect(call, end, &mut reached);
         }
         // The verdict on a whole call may explain the ends of the parts beside it.
         let (calls, parts) = reached.into_iter().partition(Fingerprint::is_call);
@@ -190,37 +190,89 @@
             .filter(|(key, _other)| !suspicion.companions().contains(key))
     }
 
+    /// Records a call that may have ended a target, and adds the fingerprints to `reached` that may be
+    /// condemned by it.
     fn record_suspect(
         &mut self,
-        fingerprint: Fingerprint,
         call: &SuspectCall,
         end: &TargetEnd,
-    ) -> bool {
+        reached: &mut Vec<Fingerprint>,
+    ) {
+        self.begin_suspicions(call, end);
+        for fingerprint in &call.fingerprints {
+            let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) else {
+                continue;
+            };
+            let is_reached = suspicion.record_end(
+                &end.instance,
+                &call.fingerprints,
+                call.sent_at_ms,
+                end.ended_at_ms,
+            );
+            if is_reached {
+                reached.push(*fingerprint);
+            }
+        }
+        let by_fingerprint = &self.by_fingerprint;
+        let fresh = call.fingerprints.iter().copied();
+        let fresh = fresh.filter(|fingerprint| !by_fingerprint.contains_key(fingerprint));
+        self.first_ends.record(call, fresh, end);
+    }
+
+    /// Begins a suspicion of each fingerprint of a call that was near at the end of one other target, with
+    /// that end.
+    fn begin_suspicions(&mut self, call: &SuspectCall, end: &TargetEnd) {
+        let sights = self.first_ends.earlier_sights(call, end);
+        let begun = call.fingerprints.iter().zip(&sights);
+        for (fingerprint, sight) in begun.filter_map(|(key, sight)| Some((key, (*sight)?))) {
+            let Some((instance, sent_at_ms, ended_at_ms)) = self.first_ends.end_of(sight) else {
+                continue;
+            };
+            // One that is suspected already may have been in the earlier call too.
+            let companions: Vec<Fingerprint> = call
+                .fingerprints
+                .iter()
+                .zip(&sights)
+                .filter(|(other, other_sight)| {
+                    other_sight.map_or_else(
+                        || self.by_fingerprint.contains_key(other),
+                        |other_sight| other_sight.is_in_same_call(sight),
+                    )
+                })
+                .map(|(other, _sight)| *other)
+                .collect();
+            let mut suspicion = Suspicion::new(companions.clone());
+            suspicion.record_end(&instance, &companions, sent_at_ms, ended_at_ms);
+            self.insert(*fingerprint, suspicion);
+        }
+        for fingerprint in &call.fingerprints {
+            if self.by_fingerprint.contains_key(fingerprint) {
+                self.first_ends.remove(fingerprint);
+            }
+        }
+    }
+
+    /// Adds a suspicion, in place of the one with the least evidence if there are too many.
+    fn insert(&mut self, fingerprint: Fingerprint, suspicion: Suspicion) {
         if !self.by_fingerprint.contains_key(&fingerprint)
             && self.by_fingerprint.len() >= MAX_FINGERPRINTS
         {
             self.evict();
         }
-        let suspicion = self
-            .by_fingerprint
-            .entry(fingerprint)
-            .or_insert_with(|| Suspicion::new(call.fingerprints.clone()));
-        suspicion.record_end(
-            &end.instance,
-            &call.fingerprints,
-            call.sent_at_ms,
-            end.ended_at_ms,
-        )
+        self.by_fingerprint.insert(fingerprint, suspicion);
     }
 
     /// Records that an answer to a call with these fingerprints is complete, so that none of them ends
     /// targets.
     pub fn record_sound(&mut self, fingerprints: &[Fingerprint]) -> SoundOutcome {
         let mut sound = SoundOutcome::default();
-        if self.by_fingerprint.is_empty() {
+        if self.is_empty() {
             return sound;
         }
         for fingerprint in fingerprints {
+            if self.first_ends.remove(fingerprint) {
+                sound.cleared.push(*fingerprint);
+            }
             let Some(suspicion) = self.by_fingerprint.remove(fingerprint) else {
                 continue;
             };
@@ -257,6 +309,7 @@
             return Vec::new();
         }
         self.ended.remove(instance);
+        self.first_ends.refute_end(instance);
         let mut lifted = Vec::new();
         for (fingerprint, suspicion) in &mut self.by_fingerprint {
             if suspicion.refute_end(instance) {
@@ -347,15 +400,13 @@
 
     /// Applies a verdict of another gateway, or of an earlier process, that is `age_ms` old.
     pub fn apply_verdict(&mut self, verdict: &PoisonVerdict, age_ms: u64, now_ms: u64) {
-        if !self.by_fingerprint.contains_key(&verdict.fingerprint)
-            && self.by_fingerprint.len() >= MAX_FINGERPRINTS
-        {
-            self.evict();
+        if !self.by_fingerprint.contains_key(&verdict.fingerprint) {
+            let suspicion = Suspicion::new(verdict.companions.clone());
+            self.insert(verdict.fingerprint, suspicion);
         }
-        let suspicion = self
-            .by_fingerprint
-            .entry(verdict.fingerprint)
-            .or_insert_with(|| Suspicion::new(verdict.companions.clone()));
+        let Some(suspicion) = self.by_fingerprint.get_mut(&verdict.fingerprint) else {
+            return;
+        };
         suspicion.narrow(&verdict.companions);
         if suspicion.is_condemned() && suspicion.trials() >= verdict.trials {
             return;
@@ -441,22 +492,24 @@
             .map(|(fingerprint, _suspicion)| *fingerprint)
     }
 
-    /// Returns the number of fingerprints that are suspected or condemned.
+    /// Returns the number of fingerprints that were near at several ends or are condemned.
     #[must_use]
     pub fn len(&self) -> usize {
         self.by_fingerprint.len()
     }
 
-    /// Returns whether no fingerprint is suspected or condemned.
+    /// Returns whether no fingerprint was near at any end or is condemned.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.by_fingerprint.is_empty()
+        self.by_fingerprint.is_empty() && self.first_ends.is_empty()
     }
 
     fn forget_old(&mut self, now_ms: u64) {
         self.by_fingerprint.retain(|_fingerprint, suspicion| {
             suspicion.is_condemned() || now_ms <= suspicion.last_end_ms() + MAX_SUSPICION_AGE_MS
         });
+        self.first_ends
+            .forget_old(now_ms.saturating_sub(MAX_SUSPICION_AGE_MS));
         self.ended
             .retain(|_instance, ended| now_ms <= ended.ended_at_ms + MAX_SUSPICION_AGE_MS);
     }
--- a/crates/toucan_gateway/tests/poison_table.rs
+++ b/crates/toucan_gateway/tests/poison_table.rs
@@ -221,3 +221,37 @@
     let now_ms = ENDS_TO_CONDEMN as u64 * INTERVAL_MS;
     assert_eq!(table.check(&[A], false, now_ms), PoisonCheck::Clear);
 }
+
+/// Ends `fresh_calls` calls of 16 parts that never come again with each target, and one with part A, which is
+/// told last. Returns the number of ends until A is condemned.
+fn ends_until_condemned(fresh_calls: u64) -> Option<u64> {
+    const PARTS: u64 = 16;
+    let mut table = PoisonTable::default();
+    for at in 1..=20 {
+        let mut end = end(at, &[]);
+        let fresh_call = |call: u64| SuspectCall {
+            fingerprints: (0..PARTS)
+                .map(|part| ((at * fresh_calls + call) * PARTS + part) + 1_000)
+                .map(|part| Fingerprint::Part(PartId(part)))
+                .collect(),
+            sent_at_ms: end.ended_at_ms - 100,
+        };
+        let mut suspects: Vec<SuspectCall> = (0..fresh_calls).map(fresh_call).collect();
+        suspects.push(SuspectCall {
+            fingerprints: vec![A],
+            sent_at_ms: end.ended_at_ms - 100,
+        });
+        end.suspects = suspects;
+        table.record_end(&end, end.ended_at_ms + 25);
+        if table.is_condemned(A) {
+            return Some(at);
+        }
+    }
+    None
+}
+
+#[test_case(63 => Some(ENDS_TO_CONDEMN as u64); "a thousand parts an end")]
+#[test_case(625 => Some(ENDS_TO_CONDEMN as u64); "ten thousand parts an end")]
+fn fresh_parts_do_not_drive_out_the_one_that_ends_targets(fresh_calls: u64) -> Option<u64> {
+    ends_until_condemned(fresh_calls)
+}
