Grant permits for the calls to cold targets, as for those that name a limit

Change: a cold target has the configured limit until its registration says that it is warm or the time is over; its calls take permits. A request for permits has the limit that the asker knows, in case the grantor has not read the registration.

--- a/crates/toucan_gateway/src/config/service.rs
+++ b/crates/toucan_gateway/src/config/service.rs
@@ -2,6 +2,8 @@
 
 use toucan_types::ServiceName;
 
+use crate::limits::CallRate;
+
 /// A pool of targets that run the calls of routes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
@@ -10,6 +12,9 @@
     /// Maximum number of connections that a target accepts from all VMs together; [`None`] if the
     /// configuration sets no limit.
     pub max_connections: Option<u32>,
+    /// Calls per second that a cold target accepts from all VMs together; [`None`] if the configuration sets
+    /// no limit.
+    pub cold_limit: Option<CallRate>,
     /// Settings of the model engines; [`None`] for a service without engines.
     pub engine: Option<EngineSettings>,
 }
--- a/crates/toucan_gateway/src/config/target_entry.rs
+++ b/crates/toucan_gateway/src/config/target_entry.rs
@@ -23,6 +23,8 @@
     pub slots: u32,
     /// Whether the target is draining and must get no new calls.
     pub draining: bool,
+    /// Time from the registration for which the target is cold: it has just started, and takes few calls.
+    pub cold_ms: u64,
     /// Unix time of the target's start; another value under the same id means another start.
     pub started_at_unix_ms: u64,
 }
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -46,9 +46,10 @@
                 "software_version": target.entry.software_version.as_str(),
                 "draining": target.entry.draining,
                 "is_leaving": target.is_leaving,
+                "cold_ms": target.cold_until_ms.saturating_sub(now_ms),
                 "limit_per_s": target.limit.rate().map(CallRate::per_s),
                 "limited_ms": target.limited_ms(now_ms),
-                "permit_share": target.limit.rate().map(|_rate| {
+                "permit_share": state.call_limit(&target.entry.name, now_ms).map(|_limit| {
                     let members = &state.members;
                     members.permit_share(&target.entry.name, &gateway.location, now_ms)
                 }),
--- a/crates/toucan_gateway/src/limit_reports.rs
+++ b/crates/toucan_gateway/src/limit_reports.rs
@@ -96,23 +96,26 @@
         now_ms: u64,
     ) -> PermitStep {
         let mut state = self.state.borrow_mut();
+        let is_limited = state.call_limit(&target.name, now_ms).is_some();
         match state.targets.get_mut(&target.name) {
-            Some(known) if known.limit.rate().is_some() => known.permits.next_step(left_ms, now_ms),
+            Some(known) if is_limited => known.permits.next_step(left_ms, now_ms),
             _ => PermitStep::Send,
         }
     }
 
     /// Asks the gateway that grants permits for a target, and its deputy if it has not answered in time.
     pub(crate) fn ask_permits(&self, target: &Rc<TargetEntry>, request: PermitRequest) {
-        let Some(limit) = self.told_limit(&target.name) else {
+        let now_ms = self.now_ms();
+        let rate = self.state.borrow().call_limit(&target.name, now_ms);
+        let (Some(limit), Some(rate)) = (self.told_limit(&target.name), rate) else {
             return;
         };
         let query = PermitQuery {
             limit,
+            rate,
             id: request.id,
             permits: request.permits,
         };
-        let now_ms = self.now_ms();
         let mut granters = {
             let members = &self.state.borrow().members;
             members.permit_granters(&target.name, &self.location, now_ms)
@@ -136,11 +139,13 @@
         let target = &query.limit.target;
         let limit = self.told_limit(target)?;
         let now_ms = self.now_ms();
-        let granted = {
-            let state = &mut *self.state.borrow_mut();
-            state.grant_permits(target, &self.location, query.permits, now_ms)
-        };
-        let grant = granted.unwrap_or_default();
+        let grant = self.state.borrow_mut().grant_permits(
+            target,
+            query.rate.in_range(),
+            &self.location,
+            query.permits,
+            now_ms,
+        );
         log::debug!(
             target: "target",
             name = target.as_str(),
--- a/crates/toucan_gateway/src/limits/permit_granter.rs
+++ b/crates/toucan_gateway/src/limits/permit_granter.rs
@@ -13,7 +13,7 @@
 const RETURN_PER_REQUEST_MS: f64 = 1.0;
 
 /// The permits that were granted on a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PermitGrant {
     /// Number of permits.
     pub permits: u32,
@@ -80,8 +80,8 @@
         }
     }
 
-    /// Forgets the targets for which `is_limited` returns false.
-    pub fn retain(&mut self, is_limited: impl Fn(&TargetName) -> bool) {
-        self.by_target.retain(|target, _granted| is_limited(target));
+    /// Forgets the targets for which `is_known` returns false.
+    pub fn retain(&mut self, is_known: impl Fn(&TargetName) -> bool) {
+        self.by_target.retain(|target, _granted| is_known(target));
     }
 }
--- a/crates/toucan_gateway/src/peers/permit_messages.rs
+++ b/crates/toucan_gateway/src/peers/permit_messages.rs
@@ -21,8 +21,10 @@
 /// A request for permits.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PermitQuery {
-    /// The limit, which the receiver may not know.
+    /// What the target has stated, which the receiver may not know.
     pub limit: ToldLimit,
+    /// Rate that the sender takes for the limit, since the target states it or is cold.
+    pub rate: CallRate,
     /// Id of the request.
     pub id: PermitRequestId,
     /// Number of permits.
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     config::TargetEntry,
-    limits::{LimitRecord, Permits},
+    limits::{CallRate, LimitRecord, Permits},
 };
 
 use super::{FailureHistory, PromptCacheEstimate};
@@ -30,6 +30,8 @@
     pub throttled_until_ms: u64,
     /// Limit on the calls from all VMs together.
     pub limit: LimitRecord,
+    /// Time until which the target is cold.
+    pub cold_until_ms: u64,
     /// Permits of this VM for calls to the target while it has a limit.
     pub permits: Permits,
     /// End of the grace period after deregistration; [`None`] while the target is registered.
@@ -64,6 +66,7 @@
             is_leaving: false,
             throttled_until_ms: 0,
             limit: LimitRecord::default(),
+            cold_until_ms: 0,
             permits: Permits::default(),
             usable_until_ms: None,
             peer_loads: FastHashMap::default(),
@@ -106,9 +109,20 @@
     /// Returns the time until there may be a permit for a call to the target.
     #[must_use]
     pub fn limited_ms(&self, now_ms: u64) -> u64 {
-        self.limit
-            .rate()
-            .map_or(0, |_rate| self.permits.denied_ms(now_ms))
+        let is_limited = self.limit.rate().is_some() || now_ms < self.cold_until_ms;
+        if is_limited {
+            self.permits.denied_ms(now_ms)
+        } else {
+            0
+        }
+    }
+
+    /// Returns the limit on the calls from all VMs together, of a target that accepts `cold_limit` while it
+    /// is cold; [`None`] if there is none.
+    #[must_use]
+    pub fn call_limit(&self, cold_limit: Option<CallRate>, now_ms: u64) -> Option<CallRate> {
+        let cold_limit = cold_limit.filter(|_limit| now_ms < self.cold_until_ms);
+        [self.limit.rate(), cold_limit].into_iter().flatten().min()
     }
 
     /// Sets another VM's load: its calls in flight here, and their unprocessed prompt tokens.
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -55,8 +55,20 @@
 }
 
 impl TargetTable {
-    /// Applies a registration.
-    pub fn register(&mut self, mut entry: TargetEntry) -> TargetChange {
+    /// Applies a registration that was read at `now_ms`.
+    pub fn register(&mut self, entry: TargetEntry, now_ms: u64) -> TargetChange {
+        let name = entry.name.clone();
+        let change = self.apply(entry);
+        if let Some(target) = self.by_name.get_mut(&name) {
+            target.cold_until_ms = match target.entry.cold_ms {
+                0 => 0,
+                cold_ms => now_ms.saturating_add(cold_ms),
+            };
+        }
+        change
+    }
+
+    fn apply(&mut self, mut entry: TargetEntry) -> TargetChange {
         let Some(known) = self.by_name.get_mut(&entry.name) else {
             let state = TargetState::new(Rc::new(entry));
             self.by_name.insert(state.entry.name.clone(), state);
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -8,7 +8,7 @@
 use crate::{
     budget::{RestoreGate, Wallet},
     config::FleetConfig,
-    limits::{PermitGrant, PermitGranter},
+    limits::{CallRate, PermitGrant, PermitGranter},
     peers::{GatewayLocation, Members},
     placement::TargetTable,
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
@@ -182,35 +182,43 @@
         self.restore_gate.update(recoveries, now_ms)
     }
 
-    /// Notes which gateways are heard from, and forgets the permits for targets without a limit.
+    /// Notes which gateways are heard from, and forgets the permits for targets that have ended.
     pub(crate) fn observe_members(&mut self, now_ms: u64) {
         if self.members_loaded {
             self.members.observe(now_ms);
         }
         let targets = &self.targets;
-        self.permit_granter.retain(|target| {
-            let target = targets.get(target);
-            target.is_some_and(|target| target.limit.rate().is_some())
-        });
+        self.permit_granter
+            .retain(|target| targets.get(target).is_some());
     }
 
-    /// Grants up to `wanted` permits for calls to a target, as far as this gateway may. [`None`] if the
-    /// target is not known or names no limit.
+    /// Returns the limit on the calls to a target from all gateways together; [`None`] if there is none.
+    pub(crate) fn call_limit(&self, target: &TargetName, now_ms: u64) -> Option<CallRate> {
+        let target = self.targets.get(target)?;
+        let services = self.config.as_ref().map(|config| &config.services);
+        let service = services.and_then(|services| services.get(&target.entry.service));
+        target.call_limit(service.and_then(|service| service.cold_limit), now_ms)
+    }
+
+    /// Grants up to `wanted` permits for calls to a target, as far as this gateway may. `asked_limit` is the
+    /// limit that the asking gateway knows.
     pub(crate) fn grant_permits(
         &mut self,
         target: &TargetName,
+        asked_limit: CallRate,
         location: &GatewayLocation,
         wanted: u32,
         now_ms: u64,
-    ) -> Option<PermitGrant> {
-        let rate = self.targets.get(target)?.limit.rate()?;
+    ) -> PermitGrant {
+        let known_limit = self.call_limit(target, now_ms);
+        let limit = known_limit.map_or(asked_limit, |limit| limit.min(asked_limit));
         let share = if self.members_loaded {
             self.members.permit_share(target, location, now_ms)
         } else {
             0.0
         };
         let granter = &mut self.permit_granter;
-        Some(granter.grant(target, rate, share, wanted, now_ms))
+        granter.grant(target, limit, share, wanted, now_ms)
     }
 
     /// Returns whether this gateway holds tokens of an organisation for its data centre.
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -80,7 +80,8 @@
         gateway.record_registration(&entry.instance());
     }
     let (name, service) = (entry.name.clone(), entry.service.clone());
-    let change = gateway.state.borrow_mut().targets.register(entry);
+    let now_ms = gateway.now_ms();
+    let change = gateway.state.borrow_mut().targets.register(entry, now_ms);
     if change != TargetChange::Other {
         log::info!(target: "target", name = name.as_str(), service = service.as_str(), offset = read.offset.0, change:? = change; "target changed");
     }
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -26,6 +26,7 @@
         software_version: SoftwareVersion::from("v1"),
         slots: 64,
         draining: false,
+        cold_ms: 0,
         started_at_unix_ms,
     }
 }
@@ -38,7 +39,7 @@
 fn table(count: usize) -> TargetTable {
     let mut table = TargetTable::default();
     for at in 0..count {
-        table.register(entry(&format!("t{at}"), 1));
+        table.register(entry(&format!("t{at}"), 1), 0);
     }
     table
 }
@@ -129,7 +130,7 @@
     let mut table = table(2);
     let mut draining = entry("t0", 1);
     draining.draining = true;
-    assert_eq!(table.register(draining), TargetChange::Draining);
+    assert_eq!(table.register(draining, 0), TargetChange::Draining);
     let chosen = choose(&table, &prompt(1), &[], 1, 0).expect("t1 accepts calls");
     assert_eq!(chosen.entry.name.as_str(), "t1");
     assert!(choose(&table, &prompt(1), &[TargetName::from("t1")], 1, 0).is_none());
@@ -142,9 +143,9 @@
     assert!(!table.record_leaving(&name, 0), "an earlier start");
     assert!(table.record_leaving(&name, 1));
     assert!(!table.record_leaving(&name, 1), "known");
-    table.register(entry("t0", 1));
+    table.register(entry("t0", 1), 0);
     assert!(choose(&table, &prompt(1), &[], 1, 0).is_none());
-    table.register(entry("t0", 2));
+    table.register(entry("t0", 2), 0);
     assert!(choose(&table, &prompt(1), &[], 1, 0).is_some());
 }
 
@@ -186,7 +187,7 @@
     };
     assert_eq!(table.shortest_pause(service, None, &[], 400), Some(pause));
     assert!(choose(&table, &prompt(1), &[], 1, 1_000).is_some());
-    table.register(entry("t1", 2));
+    table.register(entry("t1", 2), 0);
     assert!(
         choose(&table, &prompt(1), &[TargetName::from("t0")], 1, 0).is_some(),
         "a restart"
@@ -214,11 +215,11 @@
     let name = TargetName::from("t0");
     let state = table.get_mut(&name).expect("it is registered");
     state.prompt_cache.record_sent(&prompt(1), 0);
-    assert_eq!(table.register(entry("t0", 2)), TargetChange::Started);
+    assert_eq!(table.register(entry("t0", 2), 0), TargetChange::Started);
     let state = table.get(&name).expect("it is registered");
     assert_eq!(state.prompt_cache.cached_tokens(&prompt(1), 0), 0);
     assert_eq!(
-        table.register(entry("t0", 1)),
+        table.register(entry("t0", 1), 0),
         TargetChange::Other,
         "the registration is of an earlier start"
     );
@@ -247,7 +248,7 @@
     for at in 0..6 {
         let mut other = entry(&format!("far-{at}"), 1);
         other.data_centre = DataCentreName::from("there");
-        table.register(other);
+        table.register(other, 0);
     }
     let remote = |at: usize| TargetName::from(format!("far-{at}"));
     assert!(
@@ -321,7 +322,7 @@
     );
     assert!(choose(&table, &prompt(1), &[], 0, 499).is_some());
     assert!(choose(&table, &prompt(1), &[], 0, 500).is_none());
-    table.register(entry("t0", 1));
+    table.register(entry("t0", 1), 0);
     assert!(choose(&table, &prompt(1), &[], 0, 500).is_some());
     table.deregister(&name, 600);
     assert_eq!(table.remove_expired(600), [name]);
--- a/crates/toucan_gateway/tests/stream_origins.rs
+++ b/crates/toucan_gateway/tests/stream_origins.rs
@@ -117,6 +117,7 @@
         software_version: SoftwareVersion::from(version),
         slots: 64,
         draining: false,
+        cold_ms: 0,
         started_at_unix_ms: 1,
     }
 }
