--- a/crates/toucan_gateway/src/poison/mod.rs
+++ b/crates/toucan_gateway/src/poison/mod.rs
@@ -6,6 +6,7 @@
 
 mod broken_calls;
 mod call_digest;
+mod explanations;
 mod fingerprint;
 mod first_ends;
 mod poison_table;
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod connection_pool;
 mod exchange;
 pub(crate) mod http_listener;
+mod in_flight_call;
 mod permit_wait;
 mod poison_trial;
 mod read_call;
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -19,10 +19,11 @@
 };
 
 use super::{
-    call::{Call, CallTracker, InFlightCall},
+    call::{Call, CallTracker},
     choose::{ChosenTarget, choose_for_call, refusal_without_target},
     collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
+    in_flight_call::InFlightCall,
     permit_wait::take_permit,
     poison_trial::check_poison,
 };
