Lift a limit only by an answer to a call that was sent after the limit was named

A target that has named a limit could get unlimited calls again, from all gateways, until it named it once more. Cause: an answer without a limit counted from when a gateway read it. A gateway with a tenth of a core, or a long prompt, reads an answer later than 200 ms after one that the target wrote afterwards. Change: no limit counts from when the call was sent, a limit from when it was received; what other gateways tell is put back by the time that a datagram may take. The gap of 200 ms goes.

--- a/crates/toucan_gateway/src/limit_reports.rs
+++ b/crates/toucan_gateway/src/limit_reports.rs
@@ -11,6 +11,9 @@
     peers::{PeerMessage, PermitAnswer, PermitQuery, ToldLimit},
 };
 
+/// Time that a datagram may take. A limit is lifted only by what was surely said after it.
+const MAX_DATAGRAM_DELAY_MS: u64 = 100;
+
 impl<P: Platform> Gateway<P> {
     /// Applies what a response of a target says about a limit on its calls, and tells the other gateways
     /// if it was not known.
@@ -19,23 +22,21 @@
         target: &TargetName,
         started_at_unix_ms: u64,
         stated: StatedLimit,
+        sent_at_ms: u64,
     ) {
-        let rate = match stated {
-            StatedLimit::Absent => None,
-            StatedLimit::Rate(rate) => Some(rate),
-            StatedLimit::Unreadable => {
-                metrics::counter!("toucan_unreadable_limits_total").increment(1);
-                log::debug!(target: "target", name = target.as_str(); "the limit of the target cannot be read and is ignored");
-                return;
-            }
+        let now_ms = self.now_ms();
+        let Some((rate, stated_at_ms)) = stated.statement(sent_at_ms, now_ms) else {
+            metrics::counter!("toucan_unreadable_limits_total").increment(1);
+            log::debug!(target: "target", name = target.as_str(); "the limit of the target cannot be read and is ignored");
+            return;
         };
         let limit = ToldLimit {
             target: target.clone(),
             started_at_unix_ms,
             rate,
-            stated_ms_ago: 0,
+            stated_ms_ago: now_ms.saturating_sub(stated_at_ms),
         };
-        if self.apply_limit(&limit) {
+        if self.apply_limit(&limit, stated_at_ms) {
             if let Some(rate) = rate {
                 metrics::counter!("toucan_limiting_targets_total").increment(1);
                 log::info!(target: "target", name = target.as_str(), per_s = rate.per_s(); "the target limits its calls");
@@ -48,7 +49,12 @@
 
     /// Applies the limit of a target that another gateway tells.
     pub(crate) fn accept_limit(&self, limit: &ToldLimit) {
-        if self.apply_limit(limit) {
+        let told_at_ms = match limit.rate {
+            Some(_rate) => self.now_ms(),
+            None => self.now_ms().saturating_sub(MAX_DATAGRAM_DELAY_MS),
+        };
+        let stated_at_ms = told_at_ms.saturating_sub(limit.stated_ms_ago);
+        if self.apply_limit(limit, stated_at_ms) {
             log::info!(
                 target: "target",
                 name = limit.target.as_str(),
@@ -60,8 +66,7 @@
     }
 
     /// Applies the limit of a target. Returns whether it changed.
-    fn apply_limit(&self, limit: &ToldLimit) -> bool {
-        let stated_at_ms = self.now_ms().saturating_sub(limit.stated_ms_ago);
+    fn apply_limit(&self, limit: &ToldLimit, stated_at_ms: u64) -> bool {
         let is_changed = self.state.borrow_mut().targets.record_limit(
             &limit.target,
             limit.started_at_unix_ms,
--- a/crates/toucan_gateway/src/limits/limit_record.rs
+++ b/crates/toucan_gateway/src/limits/limit_record.rs
@@ -2,10 +2,6 @@
 
 use super::CallRate;
 
-/// Time after a response with a limit from which one without a limit lifts it. Until then it may have
-/// been written before.
-const MIN_LIFT_GAP_MS: u64 = 200;
-
 /// What a response of a target says about a limit on its calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StatedLimit {
@@ -39,18 +35,39 @@
         now_ms.saturating_sub(self.stated_at_ms)
     }
 
-    /// Applies what a response said at `stated_at_ms`, which may be earlier than what is known. Returns
+    /// Applies what a target said at `stated_at_ms`, which may be earlier than what is known. Returns
     /// whether the limit changed.
+    ///
+    /// The time of a limit is the latest at which it can have been named, and that of none the earliest: an
+    /// answer lifts a limit only if the target wrote it after it had named the limit.
     pub fn apply(&mut self, rate: Option<CallRate>, stated_at_ms: u64) -> bool {
-        let is_newer = match (self.rate, rate) {
-            (Some(_), None) => stated_at_ms >= self.stated_at_ms + MIN_LIFT_GAP_MS,
-            (None, Some(_)) => stated_at_ms + MIN_LIFT_GAP_MS > self.stated_at_ms,
-            (Some(_), Some(_)) | (None, None) => stated_at_ms >= self.stated_at_ms,
+        let lifts = self.rate.is_some() && rate.is_none();
+        let is_newer = if lifts {
+            stated_at_ms > self.stated_at_ms
+        } else {
+            stated_at_ms >= self.stated_at_ms
         };
         if !is_newer {
             return false;
         }
-        self.stated_at_ms = self.stated_at_ms.max(stated_at_ms);
+        self.stated_at_ms = stated_at_ms;
         std::mem::replace(&mut self.rate, rate) != rate
     }
 }
+
+impl StatedLimit {
+    /// Returns the limit that a response states, with its time in the sense of [`LimitRecord::apply`];
+    /// [`None`] if it says nothing.
+    #[must_use]
+    pub const fn statement(
+        self,
+        sent_at_ms: u64,
+        received_at_ms: u64,
+    ) -> Option<(Option<CallRate>, u64)> {
+        match self {
+            Self::Absent => Some((None, sent_at_ms)),
+            Self::Rate(rate) => Some((Some(rate), received_at_ms)),
+            Self::Unreadable => None,
+        }
+    }
+}
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -188,7 +188,7 @@
     };
     tracker.mark_may_have_run();
     let exchanged = send_request(&gateway.platform, &gateway.pool, exchange).await;
-    apply_notice(gateway, target, notice);
+    apply_notice(gateway, target, notice, now_ms);
     let received = match exchanged {
         Ok(response) => {
             tracker.log.framing = response.framing;
@@ -240,8 +240,13 @@
     }
 }
 
-/// Applies what a target states about itself.
-fn apply_notice<P: Platform>(gateway: &Gateway<P>, target: &TargetEntry, notice: TargetNotice) {
+/// Applies what a target states about itself in its response to a call.
+fn apply_notice<P: Platform>(
+    gateway: &Gateway<P>,
+    target: &TargetEntry,
+    notice: TargetNotice,
+    sent_at_ms: u64,
+) {
     if notice.is_leaving {
         gateway.record_leaving_target(&target.name, target.started_at_unix_ms);
     }
@@ -249,7 +254,7 @@
         gateway.record_throttling_target(&target.name, target.started_at_unix_ms, throttle);
     }
     if let Some(limit) = notice.limit {
-        gateway.record_stated_limit(&target.name, target.started_at_unix_ms, limit);
+        gateway.record_stated_limit(&target.name, target.started_at_unix_ms, limit, sent_at_ms);
     }
 }
 
