Keep the time of a limit when other gateways tell it again

What callers saw: nothing; found at reading the diff. Callers of a target with a high limit could have stayed refused long after it had named none any more. Cause: each request for permits and each answer tells the limit with its age, and each message added its delay to the time of the limit. With 160 exchanges a second the time keeps up with the clock, and no answer was sent after it. Change: a limit that is known already gets no later time by being told; the target's own answers still renew it.

--- a/crates/toucan_gateway/src/limit_reports.rs
+++ b/crates/toucan_gateway/src/limit_reports.rs
@@ -30,21 +30,27 @@
             log::debug!(target: "target", name = target.as_str(); "the limit of the target cannot be read and is ignored");
             return;
         };
-        let limit = ToldLimit {
+        let is_changed = {
+            let targets = &mut self.state.borrow_mut().targets;
+            let known = targets.limit_mut(target, started_at_unix_ms);
+            known.is_some_and(|known| known.apply(rate, stated_at_ms))
+        };
+        if !is_changed {
+            return;
+        }
+        self.permits_changed.notify_waiters();
+        if let Some(rate) = rate {
+            metrics::counter!("toucan_limiting_targets_total").increment(1);
+            log::info!(target: "target", name = target.as_str(), per_s = rate.per_s(); "the target limits its calls");
+        } else {
+            log::info!(target: "target", name = target.as_str(); "the target no longer limits its calls");
+        }
+        self.tell_all(PeerMessage::TargetLimit(ToldLimit {
             target: target.clone(),
             started_at_unix_ms,
             rate,
             stated_ms_ago: now_ms.saturating_sub(stated_at_ms),
-        };
-        if self.apply_limit(&limit, stated_at_ms) {
-            if let Some(rate) = rate {
-                metrics::counter!("toucan_limiting_targets_total").increment(1);
-                log::info!(target: "target", name = target.as_str(), per_s = rate.per_s(); "the target limits its calls");
-            } else {
-                log::info!(target: "target", name = target.as_str(); "the target no longer limits its calls");
-            }
-            self.tell_all(PeerMessage::TargetLimit(limit));
-        }
+        }));
     }
 
     /// Applies the limit of a target that another gateway tells.
@@ -54,30 +60,24 @@
             None => self.now_ms().saturating_sub(MAX_DATAGRAM_DELAY_MS),
         };
         let stated_at_ms = told_at_ms.saturating_sub(limit.stated_ms_ago);
-        if self.apply_limit(limit, stated_at_ms) {
-            log::info!(
-                target: "target",
-                name = limit.target.as_str(),
-                per_s = limit.rate.map_or(0.0, CallRate::per_s),
-                stated_ms_ago = limit.stated_ms_ago;
-                "another gateway tells the limit of the target; 0 means that it has none"
-            );
+        let rate = limit.rate.map(CallRate::in_range);
+        let is_changed = {
+            let targets = &mut self.state.borrow_mut().targets;
+            let known = targets.limit_mut(&limit.target, limit.started_at_unix_ms);
+            known.is_some_and(|known| known.apply_told(rate, stated_at_ms))
+        };
+        if !is_changed {
+            return;
         }
-    }
-
-    /// Applies the limit of a target. Returns whether it changed.
-    fn apply_limit(&self, limit: &ToldLimit, stated_at_ms: u64) -> bool {
-        let is_changed = self.state.borrow_mut().targets.record_limit(
-            &limit.target,
-            limit.started_at_unix_ms,
-            limit.rate.map(CallRate::in_range),
-            stated_at_ms,
+        // Calls that wait for permits may need none any more.
+        self.permits_changed.notify_waiters();
+        log::info!(
+            target: "target",
+            name = limit.target.as_str(),
+            per_s = rate.map_or(0.0, CallRate::per_s),
+            stated_ms_ago = limit.stated_ms_ago;
+            "another gateway tells the limit of the target; 0 means that it has none"
         );
-        if is_changed {
-            // Calls that wait for permits may need none any more.
-            self.permits_changed.notify_waiters();
-        }
-        is_changed
     }
 
     /// Returns the limit of a target as it is told to other gateways; [`None`] if the target is not known.
--- a/crates/toucan_gateway/src/limits/limit_record.rs
+++ b/crates/toucan_gateway/src/limits/limit_record.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LimitRecord {
     rate: Option<CallRate>,
-    /// When the response was received.
+    /// When it was named, in the sense of [`Self::apply`].
     stated_at_ms: u64,
 }
 
@@ -53,6 +53,15 @@
         self.stated_at_ms = stated_at_ms;
         std::mem::replace(&mut self.rate, rate) != rate
     }
+
+    /// Applies what another gateway tells that a target said at `stated_at_ms`. Returns whether the limit
+    /// changed.
+    ///
+    /// A limit that is known already gets no later time by that. Gateways tell each other the limit with each
+    /// request for permits, and each message adds its delay to the time.
+    pub fn apply_told(&mut self, rate: Option<CallRate>, stated_at_ms: u64) -> bool {
+        rate != self.rate && self.apply(rate, stated_at_ms)
+    }
 }
 
 impl StatedLimit {
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::{DataCentreName, FastHashMap, ServiceName, SoftwareVersion, TargetName};
 
-use crate::{config::TargetEntry, limits::CallRate};
+use crate::{config::TargetEntry, limits::LimitRecord};
 
 use super::{CallOutcome, Reachability, TargetState};
 
@@ -153,20 +153,14 @@
         Some(target.throttled_until_ms)
     }
 
-    /// Records the limit on its calls that a target, in the start that began at `started_at_unix_ms`, has
-    /// named at `stated_at_ms`, or that it named none. Returns whether this changed the limit.
-    pub fn record_limit(
+    /// Returns the limit that a target, in the start that began at `started_at_unix_ms`, has named.
+    pub fn limit_mut(
         &mut self,
         name: &TargetName,
         started_at_unix_ms: u64,
-        rate: Option<CallRate>,
-        stated_at_ms: u64,
-    ) -> bool {
-        let Some(target) = self.by_name.get_mut(name) else {
-            return false;
-        };
-        target.entry.started_at_unix_ms == started_at_unix_ms
-            && target.limit.apply(rate, stated_at_ms)
+    ) -> Option<&mut LimitRecord> {
+        let target = self.by_name.get_mut(name)?;
+        (target.entry.started_at_unix_ms == started_at_unix_ms).then_some(&mut target.limit)
     }
 
     /// Returns the pause until the first of a service's targets that run `software_version`, or any
--- a/crates/toucan_gateway/tests/limit_records.rs
+++ b/crates/toucan_gateway/tests/limit_records.rs
@@ -54,3 +54,16 @@
 fn a_limit_that_cannot_be_read_says_nothing() {
     assert_eq!(StatedLimit::Unreadable.statement(1, 2), None);
 }
+
+/// Gateways tell each other a limit many times a second; each message adds its delay to the time of the limit.
+#[test]
+fn a_limit_that_is_told_again_and_again_can_still_be_lifted() {
+    let mut record = LimitRecord::default();
+    answer(&mut record, Some(1.0), 900, 1_000);
+    for delay_ms in 1..=500 {
+        record.apply_told(Some(rate(1.0)), 1_000 + delay_ms);
+    }
+    assert!(answer(&mut record, None, 1_100, 1_500));
+    assert!(!record.apply_told(Some(rate(1.0)), 1_050), "it is older");
+    assert_eq!(record.rate(), None);
+}
