--- a/crates/toucan_gateway/src/peers/permit_share.rs
+++ b/crates/toucan_gateway/src/peers/permit_share.rs
@@ -34,7 +34,8 @@
 }
 
 impl Members {
-    /// Notes whether a majority of the gateways is heard from. Call it at least once a second.
+    /// Notes whether a majority of the gateways is heard from. To be called at least every
+    /// `MAX_OBSERVATION_GAP_MS`.
     pub fn observe(&mut self, now_ms: u64) {
         let is_continuous = now_ms <= self.majority.observed_at_ms + MAX_OBSERVATION_GAP_MS;
         let since_ms = self.majority.since_ms.filter(|_since| is_continuous);
