--- a/crates/toucan_gateway/src/poison/first_ends.rs
+++ b/crates/toucan_gateway/src/poison/first_ends.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::FastHashMap;
 
-use super::{Fingerprint, SuspectCall, TargetEnd, TargetInstance};
+use super::{Fingerprint, SuspectCall, TargetEnd, TargetInstance, suspicion::SuspectEnd};
 
 /// Maximum number of fingerprints that are kept.
 const MAX_SIGHTS: usize = 24_576;
@@ -69,10 +69,14 @@
             .collect()
     }
 
-    /// Returns an end at which a fingerprint was seen, as the end of a target with one suspect call.
-    pub(super) fn end_of(&self, sight: Sight) -> Option<(TargetInstance, u64, u64)> {
+    /// Returns the end at which a fingerprint was seen; [`None`] if it is no longer kept.
+    pub(super) fn end_of(&self, sight: Sight) -> Option<SuspectEnd> {
         let end = self.get(sight.end)?;
-        Some((end.instance.clone(), sight.sent_at_ms, end.ended_at_ms))
+        Some(SuspectEnd {
+            instance: end.instance.clone(),
+            sent_at_ms: sight.sent_at_ms,
+            ended_at_ms: end.ended_at_ms,
+        })
     }
 
     /// Records the fingerprints of a suspect call that are in `fresh`.
--- a/crates/toucan_gateway/src/poison/poison_table.rs
+++ b/crates/toucan_gateway/src/poison/poison_table.rs
@@ -3,8 +3,9 @@
 use toucan_types::FastHashMap;
 
 use super::{
-    Fingerprint, PoisonVerdict, SuspectCall, TargetEnd, TargetInstance, first_ends::FirstEnds,
-    suspicion::Suspicion,
+    Fingerprint, PoisonVerdict, SuspectCall, TargetEnd, TargetInstance,
+    first_ends::FirstEnds,
+    suspicion::{SuspectEnd, Suspicion},
 };
 
 /// Time since the last end of a target after which a suspicion is forgotten, and an end can no longer
@@ -134,12 +135,12 @@
             let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) else {
                 continue;
             };
-            let is_reached = suspicion.record_end(
-                &end.instance,
-                &call.fingerprints,
-                call.sent_at_ms,
-                end.ended_at_ms,
-            );
+            let suspect_end = SuspectEnd {
+                instance: end.instance.clone(),
+                sent_at_ms: call.sent_at_ms,
+                ended_at_ms: end.ended_at_ms,
+            };
+            let is_reached = suspicion.record_end(suspect_end, &call.fingerprints);
             if is_reached {
                 reached.push(*fingerprint);
             }
@@ -156,7 +157,7 @@
         let sights = self.first_ends.earlier_sights(call, end);
         let begun = call.fingerprints.iter().zip(&sights);
         for (fingerprint, sight) in begun.filter_map(|(key, sight)| Some((key, (*sight)?))) {
-            let Some((instance, sent_at_ms, ended_at_ms)) = self.first_ends.end_of(sight) else {
+            let Some(first_end) = self.first_ends.end_of(sight) else {
                 continue;
             };
             // One that is suspected already may have been in the earlier call too.
@@ -173,7 +174,7 @@
                 .map(|(other, _sight)| *other)
                 .collect();
             let mut suspicion = Suspicion::new(companions.clone());
-            suspicion.record_end(&instance, &companions, sent_at_ms, ended_at_ms);
+            suspicion.record_end(first_end, &companions);
             self.insert(*fingerprint, suspicion);
         }
         for fingerprint in &call.fingerprints {
--- a/crates/toucan_gateway/src/poison/suspicion.rs
+++ b/crates/toucan_gateway/src/poison/suspicion.rs
@@ -44,11 +44,13 @@
 
 /// The end of a target that held a call with a fingerprint.
 #[derive(Clone, Debug)]
-struct SuspectEnd {
-    instance: TargetInstance,
+pub(super) struct SuspectEnd {
+    /// Target that ended.
+    pub(super) instance: TargetInstance,
     /// When the call was sent.
-    sent_at_ms: u64,
-    ended_at_ms: u64,
+    pub(super) sent_at_ms: u64,
+    /// When the target ended.
+    pub(super) ended_at_ms: u64,
 }
 
 impl SuspectEnd {
@@ -98,26 +100,16 @@
     /// the fingerprint.
     ///
     /// Targets that end together count once: something else may have ended them.
-    pub(super) fn record_end(
-        &mut self,
-        instance: &TargetInstance,
-        fingerprints: &[Fingerprint],
-        sent_at_ms: u64,
-        ended_at_ms: u64,
-    ) -> bool {
+    pub(super) fn record_end(&mut self, end: SuspectEnd, fingerprints: &[Fingerprint]) -> bool {
         self.companions
-            .retain(|fingerprint| fingerprints.contains(fingerprint));
-        let end = SuspectEnd {
-            instance: instance.clone(),
-            sent_at_ms,
-            ended_at_ms,
-        };
-        if !self.near.contains(instance) && self.near.len() < MAX_NEAR {
-            self.near.push(instance.clone());
+            .retain(|companion| fingerprints.contains(companion));
+        if !self.near.contains(&end.instance) && self.near.len() < MAX_NEAR {
+            self.near.push(end.instance.clone());
         }
-        if let Some(known) = self.ends.iter_mut().find(|end| end.instance == *instance) {
+        let mut known = self.ends.iter_mut();
+        if let Some(known) = known.find(|known| known.instance == end.instance) {
             // Another gateway has seen the same end, perhaps sooner.
-            known.ended_at_ms = known.ended_at_ms.min(ended_at_ms);
+            known.ended_at_ms = known.ended_at_ms.min(end.ended_at_ms);
             return false;
         }
         if !self.ends.iter().all(|known| end.is_apart_from(known)) {
