Replace bare tuples of limits and permits by types

Found at reading the diff as a newcomer: a statement of a limit with its time, and the waits of a call for permits.

--- a/crates/toucan_gateway/src/limit_reports.rs
+++ b/crates/toucan_gateway/src/limit_reports.rs
@@ -7,7 +7,7 @@
 use crate::{
     Gateway, Platform,
     config::TargetEntry,
-    limits::{CallRate, PermitRequest, PermitStep, StatedLimit},
+    limits::{CallRate, LimitStatement, PermitRequest, PermitStep, StatedLimit},
     peers::{PeerMessage, PermitAnswer, PermitQuery, ToldLimit},
 };
 
@@ -25,7 +25,7 @@
         sent_at_ms: u64,
     ) {
         let now_ms = self.now_ms();
-        let Some((rate, stated_at_ms)) = stated.statement(sent_at_ms, now_ms) else {
+        let Some(statement) = stated.statement(sent_at_ms, now_ms) else {
             metrics::counter!("toucan_unreadable_limits_total").increment(1);
             log::debug!(target: "target", name = target.as_str(); "the limit of the target cannot be read and is ignored");
             return;
@@ -33,13 +33,13 @@
         let is_changed = {
             let targets = &mut self.state.borrow_mut().targets;
             let known = targets.limit_mut(target, started_at_unix_ms);
-            known.is_some_and(|known| known.apply(rate, stated_at_ms))
+            known.is_some_and(|known| known.apply(statement))
         };
         if !is_changed {
             return;
         }
         self.permits_changed.notify_waiters();
-        if let Some(rate) = rate {
+        if let Some(rate) = statement.rate {
             metrics::counter!("toucan_limiting_targets_total").increment(1);
             log::info!(target: "target", name = target.as_str(), per_s = rate.per_s(); "the target limits its calls");
         } else {
@@ -48,8 +48,8 @@
         self.tell_all(PeerMessage::TargetLimit(ToldLimit {
             target: target.clone(),
             started_at_unix_ms,
-            rate,
-            stated_ms_ago: now_ms.saturating_sub(stated_at_ms),
+            rate: statement.rate,
+            stated_ms_ago: now_ms.saturating_sub(statement.stated_at_ms),
         }));
     }
 
@@ -59,12 +59,14 @@
             Some(_rate) => self.now_ms(),
             None => self.now_ms().saturating_sub(MAX_DATAGRAM_DELAY_MS),
         };
-        let stated_at_ms = told_at_ms.saturating_sub(limit.stated_ms_ago);
-        let rate = limit.rate.map(CallRate::in_range);
+        let statement = LimitStatement {
+            rate: limit.rate.map(CallRate::in_range),
+            stated_at_ms: told_at_ms.saturating_sub(limit.stated_ms_ago),
+        };
         let is_changed = {
             let targets = &mut self.state.borrow_mut().targets;
             let known = targets.limit_mut(&limit.target, limit.started_at_unix_ms);
-            known.is_some_and(|known| known.apply_told(rate, stated_at_ms))
+            known.is_some_and(|known| known.apply_told(statement))
         };
         if !is_changed {
             return;
@@ -74,7 +76,7 @@
         log::info!(
             target: "target",
             name = limit.target.as_str(),
-            per_s = rate.map_or(0.0, CallRate::per_s),
+            per_s = statement.rate.map_or(0.0, CallRate::per_s),
             stated_ms_ago = limit.stated_ms_ago;
             "another gateway tells the limit of the target; 0 means that it has none"
         );
--- a/crates/toucan_gateway/src/limits/limit_record.rs
+++ b/crates/toucan_gateway/src/limits/limit_record.rs
@@ -14,69 +14,69 @@
     Rate(CallRate),
 }
 
+/// What a target has said about its limit, and when.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitStatement {
+    /// The limit; [`None`] if it named none.
+    pub rate: Option<CallRate>,
+    /// The latest time at which it can have named a limit, or the earliest at which it can have named none.
+    pub stated_at_ms: u64,
+}
+
 /// The limit that a target has last named to any gateway, as far as this one knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LimitRecord {
-    rate: Option<CallRate>,
-    /// When it was named, in the sense of [`Self::apply`].
-    stated_at_ms: u64,
+    last: LimitStatement,
 }
 
 impl LimitRecord {
     /// Returns the limit; [`None`] if there is none.
     #[must_use]
     pub const fn rate(&self) -> Option<CallRate> {
-        self.rate
+        self.last.rate
     }
 
-    /// Returns the time since the target's last response that counted.
+    /// Returns the time since the last statement that counted.
     #[must_use]
     pub const fn age_ms(&self, now_ms: u64) -> u64 {
-        now_ms.saturating_sub(self.stated_at_ms)
+        now_ms.saturating_sub(self.last.stated_at_ms)
     }
 
-    /// Applies what a target said at `stated_at_ms`, which may be earlier than what is known. Returns
-    /// whether the limit changed.
+    /// Applies what a target said, which may be older than what is known. Returns whether the limit changed.
     ///
-    /// The time of a limit is the latest at which it can have been named, and that of none the earliest: an
-    /// answer lifts a limit only if the target wrote it after it had named the limit.
-    pub fn apply(&mut self, rate: Option<CallRate>, stated_at_ms: u64) -> bool {
-        let lifts = self.rate.is_some() && rate.is_none();
+    /// An answer lifts a limit only if the target wrote it after it had named the limit.
+    pub fn apply(&mut self, statement: LimitStatement) -> bool {
+        let lifts = self.last.rate.is_some() && statement.rate.is_none();
         let is_newer = if lifts {
-            stated_at_ms > self.stated_at_ms
+            statement.stated_at_ms > self.last.stated_at_ms
         } else {
-            stated_at_ms >= self.stated_at_ms
+            statement.stated_at_ms >= self.last.stated_at_ms
         };
         if !is_newer {
             return false;
         }
-        self.stated_at_ms = stated_at_ms;
-        std::mem::replace(&mut self.rate, rate) != rate
+        std::mem::replace(&mut self.last, statement).rate != statement.rate
     }
 
-    /// Applies what another gateway tells that a target said at `stated_at_ms`. Returns whether the limit
-    /// changed.
+    /// Applies what another gateway tells that a target said. Returns whether the limit changed.
     ///
     /// A limit that is known already gets no later time by that. Gateways tell each other the limit with each
     /// request for permits, and each message adds its delay to the time.
-    pub fn apply_told(&mut self, rate: Option<CallRate>, stated_at_ms: u64) -> bool {
-        rate != self.rate && self.apply(rate, stated_at_ms)
+    pub fn apply_told(&mut self, statement: LimitStatement) -> bool {
+        statement.rate != self.last.rate && self.apply(statement)
     }
 }
 
 impl StatedLimit {
-    /// Returns the limit that a response states, with its time in the sense of [`LimitRecord::apply`];
+    /// Returns what the response to a call says, given when the call was sent and the response received;
     /// [`None`] if it says nothing.
     #[must_use]
-    pub const fn statement(
-        self,
-        sent_at_ms: u64,
-        received_at_ms: u64,
-    ) -> Option<(Option<CallRate>, u64)> {
-        match self {
-            Self::Absent => Some((None, sent_at_ms)),
-            Self::Rate(rate) => Some((Some(rate), received_at_ms)),
-            Self::Unreadable => None,
-        }
+    pub const fn statement(self, sent_at_ms: u64, received_at_ms: u64) -> Option<LimitStatement> {
+        let (rate, stated_at_ms) = match self {
+            Self::Absent => (None, sent_at_ms),
+            Self::Rate(rate) => (Some(rate), received_at_ms),
+            Self::Unreadable => return None,
+        };
+        Some(LimitStatement { rate, stated_at_ms })
     }
 }
--- a/crates/toucan_gateway/src/limits/mod.rs
+++ b/crates/toucan_gateway/src/limits/mod.rs
@@ -10,7 +10,7 @@
 mod permits;
 
 pub use call_rate::CallRate;
-pub use limit_record::{LimitRecord, StatedLimit};
+pub use limit_record::{LimitRecord, LimitStatement, StatedLimit};
 pub use permit_bucket::PermitBucket;
 pub use permit_granter::{PermitGrant, PermitGranter};
 pub use permits::{PermitRequest, PermitRequestId, PermitStep, Permits};
--- a/crates/toucan_gateway/src/limits/permits.rs
+++ b/crates/toucan_gateway/src/limits/permits.rs
@@ -34,10 +34,18 @@
 pub enum PermitStep {
     /// It is sent; a permit was taken.
     Send,
-    /// It asks for permits, and waits for the answer for this time.
-    Ask(PermitRequest, u64),
-    /// It waits for this time, in milliseconds, for the answer to a request.
-    Wait(u64),
+    /// It asks for permits and waits for the answer.
+    Ask {
+        /// Request to be sent.
+        request: PermitRequest,
+        /// Longest wait.
+        wait_ms: u64,
+    },
+    /// It waits for the answer to a request.
+    Wait {
+        /// Longest wait.
+        wait_ms: u64,
+    },
     /// It is not sent to this target.
     Denied,
 }
@@ -101,14 +109,19 @@
         if waited_ms >= REPEAT_AFTER_MS && !pending.request.is_repeated {
             pending.request.is_repeated = true;
             let wait_ms = left_ms.min(GIVE_UP_AFTER_MS - waited_ms);
-            return PermitStep::Ask(pending.request, wait_ms);
+            return PermitStep::Ask {
+                request: pending.request,
+                wait_ms,
+            };
         }
         let until_ms = if pending.request.is_repeated {
             GIVE_UP_AFTER_MS
         } else {
             REPEAT_AFTER_MS
         };
-        PermitStep::Wait(left_ms.min(until_ms - waited_ms))
+        PermitStep::Wait {
+            wait_ms: left_ms.min(until_ms - waited_ms),
+        }
     }
 
     fn ask(&mut self, left_ms: u64, now_ms: u64) -> PermitStep {
@@ -122,7 +135,10 @@
             request,
             asked_at_ms: now_ms,
         });
-        PermitStep::Ask(request, left_ms.min(REPEAT_AFTER_MS))
+        PermitStep::Ask {
+            request,
+            wait_ms: left_ms.min(REPEAT_AFTER_MS),
+        }
     }
 
     /// Applies the answer to a request: the permits that were granted, and the time until there may be
--- a/crates/toucan_gateway/src/serving/permit_wait.rs
+++ b/crates/toucan_gateway/src/serving/permit_wait.rs
@@ -28,11 +28,11 @@
                 metrics::counter!("toucan_denied_permits_total").increment(1);
                 return false;
             }
-            PermitStep::Ask(request, wait_ms) => {
+            PermitStep::Ask { request, wait_ms } => {
                 gateway.ask_permits(target, request);
                 wait_ms
             }
-            PermitStep::Wait(wait_ms) => wait_ms,
+            PermitStep::Wait { wait_ms } => wait_ms,
         };
         // The loop looks again whether the wait ended by an answer or by the timeout.
         let _elapsed = timeout(Duration::from_millis(wait_ms), changed).await;
--- a/crates/toucan_gateway/tests/limit_fleet/mod.rs
+++ b/crates/toucan_gateway/tests/limit_fleet/mod.rs
@@ -327,8 +327,10 @@
                 self.sent_ms.push(self.now_ms);
             }
             PermitStep::Denied => self.calls[call].is_over = true,
-            PermitStep::Wait(wait_ms) => self.push(self.now_ms + wait_ms.max(1), Event::Step(call)),
-            PermitStep::Ask(request, wait_ms) => {
+            PermitStep::Wait { wait_ms } => {
+                self.push(self.now_ms + wait_ms.max(1), Event::Step(call));
+            }
+            PermitStep::Ask { request, wait_ms } => {
                 self.push(self.now_ms + wait_ms.max(1), Event::Step(call));
                 self.ask(at, request);
             }
--- a/crates/toucan_gateway/tests/limit_records.rs
+++ b/crates/toucan_gateway/tests/limit_records.rs
@@ -2,7 +2,7 @@
 //! one that is kept although the target has named none since.
 
 use test_case::test_case;
-use toucan_gateway::limits::{CallRate, LimitRecord, StatedLimit};
+use toucan_gateway::limits::{CallRate, LimitRecord, LimitStatement, StatedLimit};
 
 fn rate(per_s: f64) -> CallRate {
     CallRate::from_per_s(per_s).expect("the rate is a number")
@@ -17,8 +17,7 @@
 ) -> bool {
     let stated = per_s.map_or(StatedLimit::Absent, |per_s| StatedLimit::Rate(rate(per_s)));
     let statement = stated.statement(sent_at_ms, received_at_ms);
-    let (rate, stated_at_ms) = statement.expect("the limit can be read");
-    record.apply(rate, stated_at_ms)
+    record.apply(statement.expect("the limit can be read"))
 }
 
 #[test_case(None, 1_001, 1_400 => None; "no limit, to a later call")]
@@ -55,15 +54,23 @@
     assert_eq!(StatedLimit::Unreadable.statement(1, 2), None);
 }
 
+/// Returns a limit of 1 as another gateway tells it.
+fn told(stated_at_ms: u64) -> LimitStatement {
+    LimitStatement {
+        rate: Some(rate(1.0)),
+        stated_at_ms,
+    }
+}
+
 /// Gateways tell each other a limit many times a second; each message adds its delay to the time of the limit.
 #[test]
 fn a_limit_that_is_told_again_and_again_can_still_be_lifted() {
     let mut record = LimitRecord::default();
     answer(&mut record, Some(1.0), 900, 1_000);
     for delay_ms in 1..=500 {
-        record.apply_told(Some(rate(1.0)), 1_000 + delay_ms);
+        record.apply_told(told(1_000 + delay_ms));
     }
     assert!(answer(&mut record, None, 1_100, 1_500));
-    assert!(!record.apply_told(Some(rate(1.0)), 1_050), "it is older");
+    assert!(!record.apply_told(told(1_050)), "it is older");
     assert_eq!(record.rate(), None);
 }
