--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -46,4 +46,4 @@
 pub use launch::StartError;
 pub use logging::{LoggingError, flush_logging, init_logging};
 pub use platform::Platform;
-pub use settings::{Bounds, GatewaySettings};
+pub use settings::{Bounds, Features, GatewaySettings, VmResources};
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -10,7 +10,7 @@
     streams::StreamOrigin,
 };
 
-use super::{EndedTarget, PermitAnswer, PermitQuery, ToldLimit, TransferId};
+use super::{EndedTarget, LoadReport, PermitAnswer, PermitQuery, ToldLimit, TransferId};
 
 /// Length of the message authentication code at the start of a datagram.
 const MAC_BYTES: usize = 16;
@@ -24,8 +24,8 @@
 /// Content of a datagram.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum PeerMessage {
-    /// The sender's calls at targets. Targets that are not listed have none.
-    Load(Vec<TargetCalls>),
+    /// The sender's load.
+    Load(LoadReport),
     /// Requests a loan. The same id always gets the same loan.
     AskLoan {
         /// Id of the request.
@@ -105,17 +105,6 @@
     Condemned(PoisonVerdict),
 }
 
-/// The calls of one gateway at one target.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct TargetCalls {
-    /// Target.
-    pub target: TargetName,
-    /// Number of calls in flight.
-    pub in_flight: u32,
-    /// Prompt tokens of those calls that the target still has to process.
-    pub unread_tokens: u64,
-}
-
 /// A message and its sender.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Datagram {
--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -21,6 +21,31 @@
     pub metrics_address: SocketAddrV4,
     /// Bounds that the deployment sets.
     pub bounds: Bounds,
+    /// Resources of the VM.
+    pub resources: VmResources,
+    /// Optional behaviour that the deployment asks for.
+    pub features: Features,
+}
+
+/// Resources of a VM; [`None`] for a resource whose limit the settings do not state.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct VmResources {
+    /// Memory above which the process is killed.
+    pub memory_bytes: Option<u64>,
+    /// Bandwidth of the VM's link, in each direction.
+    pub link_bits_per_s: Option<f64>,
+    /// Processor time per second, in seconds.
+    pub cpu_share: Option<f64>,
+    /// File descriptors that the process may have open.
+    pub max_open_files: Option<u32>,
+}
+
+/// Optional behaviour that a deployment asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// Whether callers and targets may read slowly, so that what is held for them is bounded by the memory
+    /// of the VM.
+    pub slow_readers: bool,
 }
 
 /// Bounds that the deployment sets.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     Gateway, Platform,
-    peers::{Datagram, DatagramError, GatewayLocation, PeerMessage, TargetCalls, Transfers},
+    peers::{
+        Datagram, DatagramError, GatewayLocation, LoadReport, PeerMessage, TargetCalls, Transfers,
+    },
     state::GatewayState,
     streams::StreamOrigin,
 };
@@ -72,7 +74,7 @@
             .iter()
             .map(|(vm, _member)| vm.clone())
             .collect();
-        let message = PeerMessage::Load(calls);
+        let message = PeerMessage::Load(LoadReport { calls });
         gateway.send_to_peers(vms.iter(), message);
         let recovery = gateway.state.borrow().restore_gate.to_tell();
         if let Some(recovery) = recovery {
@@ -167,7 +169,7 @@
             gateway.poison_changed.notify_waiters();
         }
         PeerMessage::Condemned(verdict) => gateway.accept_verdict(&verdict),
-        PeerMessage::Load(calls) => record_peer_load(gateway, datagram.start, &calls, now_ms),
+        PeerMessage::Load(report) => record_peer_load(gateway, datagram.start, &report, now_ms),
         PeerMessage::AskLoan { lender_start, .. } if lender_start != gateway.start_id() => {
             log::debug!(target: "budget", vm = datagram.vm.as_str(); "a loan request to a former process of this VM was ignored");
         }
@@ -262,12 +264,12 @@
 fn record_peer_load<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     peer_start_id: u64,
-    calls: &[TargetCalls],
+    report: &LoadReport,
     now_ms: u64,
 ) {
     let mut state = gateway.state.borrow_mut();
     state.targets.clear_peer_load(peer_start_id);
-    for call in calls {
+    for call in &report.calls {
         if let Some(target) = state.targets.get_mut(&call.target) {
             target.set_peer_load(peer_start_id, call.in_flight, call.unread_tokens, now_ms);
         }
--- a/crates/toucan_gateway/tests/loans.rs
+++ b/crates/toucan_gateway/tests/loans.rs
@@ -1,7 +1,7 @@
 //! Tests that loans between gateways count once and are recovered when datagrams are lost.
 
 use test_case::test_case;
-use toucan_gateway::peers::{Datagram, DatagramError, Lending, PeerMessage, loan_size};
+use toucan_gateway::peers::{Datagram, DatagramError, Lending, LoadReport, PeerMessage, loan_size};
 use toucan_types::{OrganisationName, Tokens, VmName};
 
 fn organisation_and_lender() -> (OrganisationName, VmName) {
@@ -81,7 +81,7 @@
     let datagram = Datagram {
         vm: VmName::from("a"),
         start: 5,
-        message: PeerMessage::Load(Vec::new()),
+        message: PeerMessage::Load(LoadReport::default()),
     };
     let bytes = datagram.encode(&key).expect("the datagram can be encoded");
     assert_eq!(
