Ask a lender that has lent all that was asked of it again at once

Callers saw: refusals 'the store cannot be reached and other VMs have none left' while a holder of the same data centre had tokens. Cause: the rounds of a loan cycle went on to the next lenders even if the one before had covered its request, so a few calls within 200 ms used up the cycle, and each further call was refused as hopeless until it began anew. Change: a loan that covers its request ends the cycle, and the lender stays first for 200 ms. A cycle counts as over only if none of its loans covered its request. Ruled out: too small holdings alone (holders had up to 456,000 tokens left at the end of the outage).

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -231,7 +231,7 @@
             // Every waiting call gets here, usually before the next round is due.
             return;
         }
-        lending.ask_silent_last(&mut lenders, now_ms);
+        lending.reorder(organisation, &mut lenders, now_ms);
         let missing = self.state.borrow_mut().missing_tokens(organisation);
         for vm in chosen.into_iter().filter_map(|index| lenders.get(index)) {
             let Some(lender_start) = self.state.borrow().members.start_of(vm) else {
--- a/crates/toucan_gateway/src/peers/lending.rs
+++ b/crates/toucan_gateway/src/peers/lending.rs
@@ -51,9 +51,14 @@
     tokens: Tokens,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Round {
     started_ms: u64,
+    /// Whether a lender has lent all that was asked of it since the round started. The next request then
+    /// begins a new cycle, because that lender may have more.
+    is_covered: bool,
+    /// The last lender that lent all that was asked of it, and when it did so first.
+    good_lender: Option<(VmName, u64)>,
     next_peer: usize,
     /// Whether the last lender has been asked.
     is_last: bool,
@@ -65,8 +70,9 @@
     /// Returns the positions of the gateways to ask now, out of `peers` gateways in the order of
     /// preference.
     ///
-    /// The rounds of a cycle ask one gateway after the other, each once. Empty if the previous round
-    /// was recent and has not been answered, or if the next cycle is not due.
+    /// The rounds of a cycle ask one gateway after the other, each once. A loan that covers its request
+    /// ends the cycle. Empty if the previous round was recent and has not been answered, or if the
+    /// next cycle is not due.
     pub fn next_round(
         &mut self,
         organisation: &OrganisationName,
@@ -77,7 +83,9 @@
             return Vec::new();
         }
         let round = self.rounds.entry(organisation.clone()).or_default();
-        let is_first = round.started_ms == 0 || now_ms >= round.started_ms + CYCLE_INTERVAL_MS;
+        let is_first = round.started_ms == 0
+            || round.is_covered
+            || now_ms >= round.started_ms + CYCLE_INTERVAL_MS;
         if !is_first && (round.is_last || round.is_waiting(now_ms)) {
             return Vec::new();
         }
@@ -92,29 +100,42 @@
             PEERS_PER_ROUND.min(peers - first_peer)
         };
         round.started_ms = now_ms;
+        round.is_covered = false;
         round.next_peer = first_peer + count;
         round.is_last = round.next_peer >= peers;
         round.unanswered = count;
         (first_peer..first_peer + count).collect()
     }
 
-    /// Returns whether all lenders were asked a moment ago and none can still answer.
+    /// Returns whether all lenders were asked a moment ago, none lent all that was asked of it, and none
+    /// can still answer.
     #[must_use]
     pub fn is_cycle_over(&self, organisation: &OrganisationName, now_ms: u64) -> bool {
         self.rounds.get(organisation).is_some_and(|round| {
             round.is_last
+                && !round.is_covered
                 && !round.is_waiting(now_ms)
                 && now_ms < round.started_ms + CYCLE_INTERVAL_MS
         })
     }
 
-    /// Moves the gateways that owe an answer for some time to the end of `lenders`.
-    pub fn ask_silent_last(&mut self, lenders: &mut [VmName], now_ms: u64) {
+    /// Moves the gateway that has just lent all that was asked of it to the front of `lenders`, and those
+    /// that owe an answer for some time to the end.
+    pub fn reorder(
+        &mut self,
+        organisation: &OrganisationName,
+        lenders: &mut [VmName],
+        now_ms: u64,
+    ) {
         if self.unanswered_since_ms.len() > MAX_SILENCES {
             self.unanswered_since_ms
                 .retain(|_vm, since_ms| now_ms < *since_ms + SILENCE_EXPIRY_MS);
         }
-        lenders.sort_by_key(|vm| self.is_silent(vm, now_ms));
+        let good_lender = self
+            .rounds
+            .get(organisation)
+            .and_then(|round| round.good_lender(now_ms));
+        lenders.sort_by_key(|vm| (self.is_silent(vm, now_ms), good_lender != Some(vm)));
     }
 
     fn is_silent(&self, vm: &VmName, now_ms: u64) -> bool {
@@ -171,29 +192,36 @@
         (id, tokens)
     }
 
-    /// Returns whether a loan answers a pending request, which is then no longer pending.
+    /// Returns whether a loan of `tokens` answers a pending request, which is then no longer pending.
     pub fn accept(
         &mut self,
         id: LoanId,
         organisation: &OrganisationName,
-        lender: &VmName,
-        lender_start_id: u64,
+        (lender, lender_start_id): (&VmName, u64),
+        tokens: Tokens,
+        now_ms: u64,
     ) -> bool {
         let is_pending = self.pending.get(&id).is_some_and(|request| {
             request.organisation == *organisation
                 && request.lender == *lender
                 && request.lender_start_id == lender_start_id
         });
-        if is_pending {
-            self.unanswered_since_ms.remove(lender);
-            if let Some(round) = self.rounds.get_mut(organisation) {
-                round.unanswered = round.unanswered.saturating_sub(1);
+        if !is_pending {
+            return false;
+        }
+        let Some(request) = self.pending.remove(&id) else {
+            return false;
+        };
+        self.unanswered_since_ms.remove(lender);
+        if let Some(round) = self.rounds.get_mut(organisation) {
+            round.unanswered = round.unanswered.saturating_sub(1);
+            if !tokens.is_zero() && tokens >= request.tokens {
+                round.record_covered(lender, now_ms);
             }
-            self.pending.remove(&id);
-            self.pending_by_lender
-                .remove(&(organisation.clone(), lender.clone()));
         }
-        is_pending
+        self.pending_by_lender
+            .remove(&(organisation.clone(), lender.clone()));
+        true
     }
 
     /// Returns the loan that an earlier copy of the request got.
@@ -234,6 +262,21 @@
     const fn is_waiting(&self, now_ms: u64) -> bool {
         self.unanswered > 0 && now_ms < self.started_ms + ROUND_INTERVAL_MS
     }
+
+    /// Records that a lender has lent all that was asked of it.
+    fn record_covered(&mut self, lender: &VmName, now_ms: u64) {
+        self.is_covered = true;
+        if self.good_lender(now_ms) != Some(lender) {
+            self.good_lender = Some((lender.clone(), now_ms));
+        }
+    }
+
+    /// Returns the lender to ask first. After an interval the usual order applies again, because the
+    /// gateways of the same data centre may have tokens again.
+    fn good_lender(&self, now_ms: u64) -> Option<&VmName> {
+        let (lender, since_ms) = self.good_lender.as_ref()?;
+        (now_ms < since_ms + CYCLE_INTERVAL_MS).then_some(lender)
+    }
 }
 
 /// Returns how many of its available tokens a gateway lends.
--- a/crates/toucan_gateway/src/tasks/loan_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/loan_exchange.rs
@@ -183,11 +183,14 @@
     organisation: &OrganisationName,
     tokens: Tokens,
 ) {
-    let is_accepted =
-        gateway
-            .lending
-            .borrow_mut()
-            .accept(id, organisation, lender, lender_start_id);
+    let now_ms = gateway.now_ms();
+    let is_accepted = gateway.lending.borrow_mut().accept(
+        id,
+        organisation,
+        (lender, lender_start_id),
+        tokens,
+        now_ms,
+    );
     if !is_accepted {
         log::debug!(target: "budget", vm = lender.as_str(), id = id.0; "a duplicate or late loan was ignored");
         return;
--- a/crates/toucan_gateway/tests/loans.rs
+++ b/crates/toucan_gateway/tests/loans.rs
@@ -13,8 +13,8 @@
     let (organisation, lender) = organisation_and_lender();
     let mut lending = Lending::default();
     let (id, _tokens) = lending.ask(&organisation, &lender, 7, Tokens(100), 0);
-    assert!(lending.accept(id, &organisation, &lender, 7));
-    assert!(!lending.accept(id, &organisation, &lender, 7));
+    assert!(lending.accept(id, &organisation, (&lender, 7), Tokens::ZERO, 0));
+    assert!(!lending.accept(id, &organisation, (&lender, 7), Tokens::ZERO, 0));
 }
 
 #[test]
@@ -22,7 +22,7 @@
     let (organisation, lender) = organisation_and_lender();
     let mut lending = Lending::default();
     let (id, _tokens) = lending.ask(&organisation, &lender, 7, Tokens(100), 0);
-    assert!(!lending.accept(id, &organisation, &lender, 8));
+    assert!(!lending.accept(id, &organisation, (&lender, 8), Tokens::ZERO, 0));
 }
 
 #[test]
@@ -114,7 +114,7 @@
         for at in lending.next_round(&organisation, 8, now_ms) {
             let lender = VmName::from(format!("vm-{at}"));
             let (id, _tokens) = lending.ask(&organisation, &lender, 1, Tokens(10), now_ms);
-            assert!(lending.accept(id, &organisation, &lender, 1));
+            assert!(lending.accept(id, &organisation, (&lender, 1), Tokens::ZERO, 0));
             asked.push(at);
         }
     }
@@ -141,9 +141,35 @@
     lending.ask(&organisation, &lender, 1, Tokens(10), 1_000);
 
     let mut lenders = [lender.clone(), other.clone()];
-    lending.ask_silent_last(&mut lenders, 1_100);
+    lending.reorder(&organisation, &mut lenders, 1_100);
     assert_eq!(lenders, [other.clone(), lender.clone()]);
     let mut lenders = [lender.clone(), other.clone()];
-    lending.ask_silent_last(&mut lenders, 2_500);
+    lending.reorder(&organisation, &mut lenders, 2_500);
     assert_eq!(lenders, [lender, other]);
 }
+
+/// Guards against calls that are refused while the first lender has tokens left, because the calls before
+/// them borrowed from it a moment ago and the rounds went on to lenders without tokens.
+#[test]
+fn lender_that_has_lent_all_that_was_asked_is_asked_again_at_once() {
+    let organisation = organisation_and_lender().0;
+    let mut lending = Lending::default();
+    for now_ms in (1_000..1_500).step_by(10) {
+        let usual_order: Vec<VmName> = ["empty", "full"].map(VmName::from).to_vec();
+        let mut lenders = usual_order.clone();
+        let mut has_borrowed = false;
+        while !has_borrowed && !lending.is_cycle_over(&organisation, now_ms) {
+            let chosen = lending.next_round(&organisation, lenders.len(), now_ms);
+            lenders.clone_from(&usual_order);
+            lending.reorder(&organisation, &mut lenders, now_ms);
+            for lender in chosen.into_iter().map(|at| &lenders[at]) {
+                let (id, asked) = lending.ask(&organisation, lender, 1, Tokens(10), now_ms);
+                let has_tokens = *lender == usual_order[1];
+                let lent = if has_tokens { asked } else { Tokens::ZERO };
+                assert!(lending.accept(id, &organisation, (lender, 1), lent, now_ms));
+                has_borrowed |= has_tokens;
+            }
+        }
+        assert!(has_borrowed, "refused at {now_ms} ms");
+    }
+}
