Let the verdict on a repeated call explain the ends in each gateway, whatever order they learn of it

Cause, by a trace of the histories: (1) A gateway has its own report of the third end some ms before the others', and condemns a part for it. (2) A gateway that missed the datagram of one end did not know that the repeated call was there. Change: a verdict names the targets that ended, and is not applied while verdicts in force explain them. One that is applied lifts those that it explains, whoever reached them. Verdicts on parts no longer lift one on a whole call.

Four new tests of poison_table.rs fail without the change.

--- a/crates/toucan_gateway/src/poison/explanations.rs
+++ b/crates/toucan_gateway/src/poison/explanations.rs
@@ -8,11 +8,11 @@
     /// Removes and returns the condemned fingerprints that other verdicts have made needless: they were in
     /// other calls that their targets held when another fingerprint ended them.
     pub fn lift_explained(&mut self) -> Vec<Fingerprint> {
-        let own = self.by_fingerprint.iter();
-        let own = own.filter(|(_fingerprint, suspicion)| suspicion.is_condemned_by_own_evidence());
-        let explained: Vec<Fingerprint> = own
+        let condemned = self.by_fingerprint.iter();
+        let condemned = condemned.filter(|(_fingerprint, suspicion)| suspicion.is_condemned());
+        let explained: Vec<Fingerprint> = condemned
+            .filter(|(fingerprint, suspicion)| self.is_explained(**fingerprint, suspicion))
             .map(|(fingerprint, _suspicion)| *fingerprint)
-            .filter(|fingerprint| self.is_explained(*fingerprint))
             .collect();
         for fingerprint in &explained {
             self.by_fingerprint.remove(fingerprint);
@@ -35,19 +35,22 @@
     }
 
     /// Returns whether better verdicts on others explain each end of a target that held a call with the
-    /// fingerprint. A verdict is better if it rests on more ends, or on a whole call.
-    pub(super) fn is_explained(&self, fingerprint: Fingerprint) -> bool {
-        let Some(suspicion) = self.by_fingerprint.get(&fingerprint) else {
-            return false;
-        };
+    /// fingerprint. For a part, a verdict is better if it rests on more ends, or on a whole call.
+    ///
+    /// A whole call is explained only by others with more ends: a part that is near at its ends is in many
+    /// calls, and may have more ends while not all gateways have told the last one.
+    pub(super) fn is_explained(&self, fingerprint: Fingerprint, suspicion: &Suspicion) -> bool {
         let has_more_ends = |other: &Suspicion| {
             let mut ends = other.ended_instances();
             ends.any(|instance| !suspicion.was_near(instance))
         };
-        let is_part = !fingerprint.is_call();
+        let is_better = |key: &Fingerprint, other: &Suspicion| match fingerprint {
+            Fingerprint::Part(_) => key.is_call() || has_more_ends(other),
+            Fingerprint::Call(_) => key.is_call() && has_more_ends(other),
+        };
         suspicion.is_covered_by(
             self.condemned_beside(suspicion)
-                .filter(|(key, other)| is_part && key.is_call() || has_more_ends(other))
+                .filter(|(key, other)| is_better(key, other))
                 .map(|(_key, other)| other),
         )
     }
--- a/crates/toucan_gateway/src/poison/poison_table.rs
+++ b/crates/toucan_gateway/src/poison/poison_table.rs
@@ -113,7 +113,10 @@
         mut fingerprints: Vec<Fingerprint>,
         now_ms: u64,
     ) -> Vec<Fingerprint> {
-        fingerprints.retain(|fingerprint| !self.is_explained(*fingerprint));
+        fingerprints.retain(|fingerprint| {
+            let suspicion = self.by_fingerprint.get(fingerprint);
+            suspicion.is_some_and(|suspicion| !self.is_explained(*fingerprint, suspicion))
+        });
         for fingerprint in &fingerprints {
             if let Some(suspicion) = self.by_fingerprint.get_mut(fingerprint) {
                 suspicion.condemn(0, true, now_ms, self.seed);
@@ -330,26 +333,29 @@
         }
     }
 
-    /// Applies a verdict of another gateway, or of an earlier process, that is `age_ms` old.
-    pub fn apply_verdict(&mut self, verdict: &PoisonVerdict, age_ms: u64, now_ms: u64) {
-        if !self.by_fingerprint.contains_key(&verdict.fingerprint) {
-            let suspicion = Suspicion::new(verdict.companions.clone());
-            self.insert(verdict.fingerprint, suspicion);
-        }
-        let Some(suspicion) = self.by_fingerprint.get_mut(&verdict.fingerprint) else {
-            return;
-        };
+    /// Applies a verdict of another gateway, or of an earlier process, that is `age_ms` old. Returns the
+    /// fingerprints whose verdicts are explained by others: those that this one makes needless, or itself if it
+    /// is not applied.
+    pub fn apply_verdict(
+        &mut self,
+        verdict: &PoisonVerdict,
+        age_ms: u64,
+        now_ms: u64,
+    ) -> Vec<Fingerprint> {
+        let known = self.by_fingerprint.remove(&verdict.fingerprint);
+        let mut suspicion = known.unwrap_or_else(|| Suspicion::new(verdict.companions.clone()));
         suspicion.narrow(&verdict.companions);
-        if suspicion.is_condemned() && suspicion.trials() >= verdict.trials {
-            return;
+        suspicion.record_told_ends(&verdict.ended);
+        if self.is_explained(verdict.fingerprint, &suspicion) {
+            return vec![verdict.fingerprint];
+        }
+        if !suspicion.is_condemned() || suspicion.trials() < verdict.trials {
+            let is_own = suspicion.is_condemned_by_own_evidence();
+            let since_ms = now_ms.saturating_sub(age_ms);
+            suspicion.condemn(verdict.trials, is_own, since_ms, self.seed);
         }
-        let is_own = suspicion.is_condemned_by_own_evidence();
-        suspicion.condemn(
-            verdict.trials,
-            is_own,
-            now_ms.saturating_sub(age_ms),
-            self.seed,
-        );
+        self.insert(verdict.fingerprint, suspicion);
+        self.lift_explained()
     }
 
     /// Forgets a fingerprint, because another gateway or an operator has lifted its verdict. Returns whether it
@@ -368,6 +374,7 @@
             fingerprint,
             companions: suspicion.companions().to_vec(),
             ended_targets: suspicion.ended_targets() as u32,
+            ended: suspicion.ended_instances().cloned().collect(),
             trials: suspicion.trials(),
             written_at_unix_ms: unix_ms,
         })
--- a/crates/toucan_gateway/src/poison/poison_verdict.rs
+++ b/crates/toucan_gateway/src/poison/poison_verdict.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use super::Fingerprint;
+use super::{Fingerprint, TargetInstance};
 
 /// The verdict that a fingerprint ends targets.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -14,6 +14,10 @@
     pub companions: Vec<Fingerprint>,
     /// Number of ended targets that the verdict rests on.
     pub ended_targets: u32,
+    /// Targets that ended under it, so that a gateway which did not learn of each end can tell what explains
+    /// them. Empty in a record of an earlier version.
+    #[serde(default)]
+    pub ended: Vec<TargetInstance>,
     /// Number of calls that were tried since the verdict.
     pub trials: u32,
     /// Unix time of the verdict or of the last trial.
--- a/crates/toucan_gateway/src/poison/suspicion.rs
+++ b/crates/toucan_gateway/src/poison/suspicion.rs
@@ -35,6 +35,8 @@
     ends: Vec<SuspectEnd>,
     /// All targets that ended while they held a call with the fingerprint, also together with others.
     near: Vec<TargetInstance>,
+    /// Targets that ended under the fingerprint by the verdict of another gateway.
+    told_ends: Vec<TargetInstance>,
     /// Fingerprints that all suspect calls with this fingerprint had, with this fingerprint. It is not known which of them
     /// ended the targets.
     companions: Vec<Fingerprint>,
@@ -90,6 +92,7 @@
         Self {
             ends: Vec::new(),
             near: Vec::new(),
+            told_ends: Vec::new(),
             companions,
             trial: None,
             verdict: None,
@@ -103,9 +106,7 @@
     pub(super) fn record_end(&mut self, end: SuspectEnd, fingerprints: &[Fingerprint]) -> bool {
         self.companions
             .retain(|companion| fingerprints.contains(companion));
-        if !self.near.contains(&end.instance) && self.near.len() < MAX_NEAR {
-            self.near.push(end.instance.clone());
-        }
+        self.record_near(&end.instance);
         let mut known = self.ends.iter_mut();
         if let Some(known) = known.find(|known| known.instance == end.instance) {
             // Another gateway has seen the same end, perhaps sooner.
@@ -122,6 +123,22 @@
         self.verdict.is_none() && self.ends.len() >= ENDS_TO_CONDEMN
     }
 
+    /// Records the targets that ended under the fingerprint by the verdict of another gateway.
+    pub(super) fn record_told_ends(&mut self, ended: &[TargetInstance]) {
+        for instance in ended.iter().take(MAX_ENDS) {
+            self.record_near(instance);
+            if self.told_ends.len() < MAX_ENDS && !self.told_ends.contains(instance) {
+                self.told_ends.push(instance.clone());
+            }
+        }
+    }
+
+    fn record_near(&mut self, instance: &TargetInstance) {
+        if !self.near.contains(instance) && self.near.len() < MAX_NEAR {
+            self.near.push(instance.clone());
+        }
+    }
+
     /// Condemns the fingerprint.
     pub(super) fn condemn(&mut self, trials: u32, is_own: bool, since_ms: u64, seed: u64) {
         self.trial = None;
@@ -137,6 +154,7 @@
     pub(super) fn refute_end(&mut self, instance: &TargetInstance) -> bool {
         let before = self.ends.len();
         self.near.retain(|near| near != instance);
+        self.told_ends.retain(|told| told != instance);
         self.ends.retain(|end| end.instance != *instance);
         let is_refuted = self.ends.len() < before && self.ends.len() < ENDS_TO_CONDEMN;
         let was_own = self.verdict.is_some_and(|verdict| verdict.is_own);
@@ -243,7 +261,7 @@
         self.verdict.is_some()
     }
 
-    /// Returns whether the fingerprint is condemned for ends that this gateway knows.
+    /// Returns whether the fingerprint is condemned for ends that this gateway has counted.
     pub(super) fn is_condemned_by_own_evidence(&self) -> bool {
         self.verdict.is_some_and(|verdict| verdict.is_own)
     }
@@ -265,16 +283,21 @@
         self.verdict.map_or(0, |verdict| verdict.trials)
     }
 
-    /// Returns the targets that ended under the fingerprint.
+    /// Returns the targets that ended under the fingerprint, as seen or told.
     pub(super) fn ended_instances(&self) -> impl Iterator<Item = &TargetInstance> {
-        self.ends.iter().map(|end| &end.instance)
+        let seen = self.ends.iter().map(|end| &end.instance);
+        let told = self.told_ends.iter();
+        let told = told.filter(|told| self.ends.iter().all(|end| end.instance != **told));
+        seen.chain(told)
     }
 
-    /// Returns whether each target that ended under the fingerprint also ended under one of the others.
+    /// Returns whether targets are known to have ended under the fingerprint, and each of them also ended under
+    /// one of the others.
     pub(super) fn is_covered_by<'a>(&self, others: impl Iterator<Item = &'a Self>) -> bool {
         let others: Vec<&Self> = others.collect();
-        self.ended_instances()
-            .all(|instance| others.iter().any(|other| other.was_near(instance)))
+        let mut ended = self.ended_instances().peekable();
+        ended.peek().is_some()
+            && ended.all(|instance| others.iter().any(|other| other.was_near(instance)))
     }
 
     /// Returns whether a target ended that held a call with the fingerprint.
@@ -283,8 +306,8 @@
     }
 
     /// Returns the number of targets that ended under the fingerprint.
-    pub(super) const fn ended_targets(&self) -> usize {
-        self.ends.len()
+    pub(super) fn ended_targets(&self) -> usize {
+        self.ended_instances().count()
     }
 
     /// Returns when the last target ended under the fingerprint; 0 if none is known.
--- a/crates/toucan_gateway/src/poison_reports.rs
+++ b/crates/toucan_gateway/src/poison_reports.rs
@@ -11,6 +11,9 @@
     serving::Call,
 };
 
+/// Why a verdict is lifted that others explain, for logs.
+const EXPLAINED: &str = "other fingerprints have ended the targets";
+
 impl<P: Platform> Gateway<P> {
     /// Applies the end of a target that this gateway has seen, and tells the other gateways.
     pub(crate) fn report_target_end(&self, end: &TargetEnd) {
@@ -59,7 +62,7 @@
             self.log_verdict(*fingerprint);
         }
         let explained = self.state.borrow_mut().poison.lift_explained();
-        self.delete_verdicts(&explained, "other fingerprints have ended the targets");
+        self.delete_verdicts(&explained, EXPLAINED);
         self.poison_changed.notify_waiters();
         condemned
     }
@@ -145,20 +148,25 @@
         self.verdicts_changed.notify_one();
     }
 
-    /// Applies a verdict that another gateway has told or stored.
-    pub(crate) fn accept_verdict(&self, verdict: &PoisonVerdict) {
+    /// Applies a verdict that another gateway has told or stored. Returns false if it is not applied, and its
+    /// record is to be deleted.
+    pub(crate) fn accept_verdict(&self, verdict: &PoisonVerdict) -> bool {
         let now_ms = self.now_ms();
         let age_ms = unix_ms().saturating_sub(verdict.written_at_unix_ms);
-        let was_known = {
+        let (was_known, explained) = {
             let poison = &mut self.state.borrow_mut().poison;
             let was_known = poison.is_condemned(verdict.fingerprint);
-            poison.apply_verdict(verdict, age_ms, now_ms);
-            was_known
+            (was_known, poison.apply_verdict(verdict, age_ms, now_ms))
         };
-        if !was_known {
+        self.delete_verdicts(&explained, EXPLAINED);
+        let is_applied = !explained.contains(&verdict.fingerprint);
+        if is_applied && !was_known {
             self.log_verdict(verdict.fingerprint);
+        }
+        if !is_applied || !was_known {
             self.poison_changed.notify_waiters();
         }
+        is_applied
     }
 
     /// Tells all other gateways.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -168,7 +168,9 @@
             poison.record_trial(&fingerprints, has_begun, now_ms);
             gateway.poison_changed.notify_waiters();
         }
-        PeerMessage::Condemned(verdict) => gateway.accept_verdict(&verdict),
+        PeerMessage::Condemned(verdict) => {
+            gateway.accept_verdict(&verdict);
+        }
         PeerMessage::Load(report) => record_peer_load(gateway, datagram.start, &report, now_ms),
         PeerMessage::AskLoan { lender_start, .. } if lender_start != gateway.start_id() => {
             log::debug!(target: "budget", vm = datagram.vm.as_str(); "a loan request to a former process of this VM was ignored");
--- a/crates/toucan_gateway/src/tasks/verdict_sync.rs
+++ b/crates/toucan_gateway/src/tasks/verdict_sync.rs
@@ -134,7 +134,9 @@
         // The record was written before the deletion that this gateway is about to write.
         return;
     }
-    gateway.accept_verdict(verdict);
+    if !gateway.accept_verdict(verdict) {
+        return;
+    }
     let state = &mut *gateway.state.borrow_mut();
     if state.poison.knows_no_more_than(verdict) {
         state.verdict_outbox.remove(verdict.fingerprint);
--- a/crates/toucan_gateway/tests/poison_table.rs
+++ b/crates/toucan_gateway/tests/poison_table.rs
@@ -222,6 +222,68 @@
     assert_eq!(table.check(&[A], false, now_ms), PoisonCheck::Clear);
 }
 
+/// Returns the end of target `at`, which held a call with each of these lists of fingerprints.
+fn end_of_calls(at: u64, calls: &[&[Fingerprint]]) -> TargetEnd {
+    let suspects = calls.iter().flat_map(|call| end(at, call).suspects);
+    TargetEnd {
+        suspects: suspects.collect(),
+        ..end(at, &[])
+    }
+}
+
+/// A gateway condemns a part before the others have told it of the repeated call at the same targets, and its
+/// verdict arrives by the store when all others know the call.
+#[test]
+fn verdict_on_a_part_is_not_applied_if_a_repeated_call_explains_its_ends() {
+    let (told, now_ms) = table_after(ENDS_TO_CONDEMN, &[A]);
+    let mut table = PoisonTable::default();
+    for at in 1..=ENDS_TO_CONDEMN as u64 {
+        table.record_end(&end_of_calls(at, &[&[repeated_call()], &[A]]), now_ms);
+    }
+    let verdict = told.verdict(A, 0).expect("the fingerprint is condemned");
+    assert_eq!(table.apply_verdict(&verdict, 0, now_ms), [A]);
+    assert_eq!(table.check(&[A], false, now_ms), PoisonCheck::Clear);
+}
+
+/// The verdict on the repeated call arrives last at a gateway that did not learn of one of its ends.
+#[test]
+fn verdict_on_a_repeated_call_lifts_those_on_parts_near_its_ends() {
+    let (told, now_ms) = table_after(ENDS_TO_CONDEMN, &[repeated_call()]);
+    let (mut table, _now_ms) = table_after(ENDS_TO_CONDEMN, &[A]);
+    let verdict = told.verdict(repeated_call(), 0);
+    let verdict = verdict.expect("the fingerprint is condemned");
+    assert_eq!(table.apply_verdict(&verdict, 0, now_ms), [A]);
+    assert!(table.is_condemned(repeated_call()));
+    assert_eq!(table.check(&[A], false, now_ms), PoisonCheck::Clear);
+}
+
+/// A datagram about one end was lost. The trial of the repeated call ends a third target near part A.
+#[test]
+fn part_is_served_by_a_gateway_that_missed_an_end_of_a_repeated_call() {
+    let (told, now_ms) = table_after(ENDS_TO_CONDEMN, &[repeated_call()]);
+    let verdict = told.verdict(repeated_call(), 0);
+    let mut table = PoisonTable::default();
+    table.record_end(&end_of_calls(1, &[&[repeated_call()]]), now_ms);
+    table.record_end(&end_of_calls(2, &[&[repeated_call()], &[A]]), now_ms);
+    table.record_end(&end_of_calls(3, &[&[A]]), now_ms);
+    table.apply_verdict(&verdict.expect("it is condemned"), 0, now_ms);
+    table.record_end(&end_of_calls(4, &[&[A, repeated_call()]]), now_ms);
+    assert!(!table.is_condemned(A));
+}
+
+/// A part in many calls was near at each end of a repeated call, and at one that had another reason.
+#[test]
+fn repeated_call_is_condemned_beside_a_part_with_one_more_end() {
+    let mut table = PoisonTable::default();
+    table.record_end(&end(1, &[A]), INTERVAL_MS);
+    for at in 2..2 + ENDS_TO_CONDEMN as u64 {
+        let ended = end_of_calls(at, &[&[A], &[repeated_call()]]);
+        table.record_end(&ended, at * INTERVAL_MS);
+        table.lift_explained();
+    }
+    assert!(table.is_condemned(repeated_call()));
+}
+
 /// Ends `fresh_calls` calls of 16 parts that never come again with each target, and one with part A, which is
 /// told last. Returns the number of ends until A is condemned.
 fn ends_until_condemned(fresh_calls: u64) -> Option<u64> {
