Begin no trial for a call that finds no target

What callers saw: a sound part that was refused by mistake while all targets of its service were down stayed refused, for ten more minutes after the first call that came then, and until an operator deleted the record after the second. Cause: a gateway began the trial, which counts, before it chose a target. Change: a call that may only be sent as a trial is refused as without a target before the trial begins.

Evidence: trial_of_a_part_is_not_spent_on_a_call_that_finds_no_target in platform/tests/poison_parts.rs, which fails without the change (poison_call instead of an answer). poison_parts 11 of 11 and poison_calls 9 of 9 pass. The other tests of platform were not run.

--- a/crates/toucan_gateway/src/serving/poison_trial.rs
+++ b/crates/toucan_gateway/src/serving/poison_trial.rs
@@ -12,6 +12,7 @@
 
 use super::{
     call::{Call, CallTracker},
+    choose::{choose_for_call, refusal_without_target},
     send::Refused,
 };
 
@@ -106,6 +107,10 @@
         match check(gateway, call, may_have_run, now_ms) {
             PoisonCheck::Clear => return Ok(()),
             PoisonCheck::Trial => {
+                // A trial counts even if its call finds no target, and only two are made.
+                if choose_for_call(gateway, call, now_ms).is_none() {
+                    return Err((refusal_without_target(gateway, call), "no target is left"));
+                }
                 let trial = PoisonTrial::begin(gateway, call);
                 trial.tell(true);
                 tracker.trial = Some(trial);
