Count the trial of another gateway only if one is due

What callers saw: a sound part that some gateways refused by mistake stayed refused there for ten minutes, after another gateway that only suspected it had tried a call. Cause: each trial that another gateway tells of counted as the first one after the verdict, also seconds after it. Change: a told trial counts if it is due within the 2 s over which gateways spread theirs.

--- a/crates/toucan_gateway/src/poison/suspicion.rs
+++ b/crates/toucan_gateway/src/poison/suspicion.rs
@@ -216,12 +216,18 @@
     }
 
     /// Begins a trial, by this gateway or another.
+    ///
+    /// It counts if it is due at one of the gateways. One that begins a trial sooner only suspects the
+    /// fingerprint, and gets to know the verdict.
     pub(super) fn begin_trial(&mut self, now_ms: u64, seed: u64) {
         self.trial = Some(Trial {
             until_ms: now_ms + MAX_TRIAL_MS,
             is_broken: false,
         });
-        if let Some(verdict) = &mut self.verdict {
+        let is_due = self
+            .return_ms(now_ms)
+            .is_none_or(|return_ms| return_ms <= MAX_TRIAL_SPREAD_MS);
+        if let Some(verdict) = self.verdict.as_mut().filter(|_verdict| is_due) {
             verdict.trials += 1;
             verdict.next_trial_ms = next_trial_ms(verdict.trials, now_ms, seed);
         }
--- a/crates/toucan_gateway/tests/poison_table.rs
+++ b/crates/toucan_gateway/tests/poison_table.rs
@@ -93,6 +93,17 @@
     assert!((1..=MAX_TRIALS).contains(&trials), "{trials}");
 }
 
+/// A gateway that only suspects a part tells of its trial. It must not be taken for the one that is due ten
+/// seconds after the verdict, or the part is refused for ten minutes.
+#[test_case(2_000 => true; "of a gateway without the verdict")]
+#[test_case(9_500 => false; "of a gateway whose trial was due a little sooner")]
+fn trial_of_another_gateway_counts_if_it_is_due(begun_after_ms: u64) -> bool {
+    let (mut table, now_ms) = table_after(ENDS_TO_CONDEMN, &[A]);
+    table.record_trial(&[A], true, now_ms + begun_after_ms);
+    table.record_trial(&[A], false, now_ms + begun_after_ms + 100);
+    table.check(&[A], false, now_ms + 12_000) == PoisonCheck::Trial
+}
+
 #[test]
 fn complete_answer_clears_its_parts_and_leaves_the_others() {
     let (mut table, now_ms) = table_after(ENDS_TO_CONDEMN, &[A, B]);
