Send no more calls to a target whose address another process has

Callers saw: calls refused with target_full, or for want of a retry, while other targets were free. Cause: a target that had ended stayed registered while gateways could not read the store, and the process that now has its address answers each call with 421. That counted as shedding, so nothing kept the next calls away. Change: a 421 marks the target as replaced in all gateways until its registration is read again. Only a target that lives writes it, so a wrong mark ends within a heartbeat. Before: in the new case of target_notices the target goes on getting calls (503); after: one call. Tests of target_notices: 10 passed.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -268,6 +268,24 @@
         self.send_to_peers(neighbours.iter(), message);
     }
 
+    /// Records that another process answers at a target's address, and tells the other gateways if it was
+    /// not known. They may not be able to read that the registration has ended.
+    pub(crate) fn record_replaced_target(&self, target: &TargetName, started_at_unix_ms: u64) {
+        let is_new = {
+            let targets = &mut self.state.borrow_mut().targets;
+            targets.record_replaced(target, started_at_unix_ms)
+        };
+        if !is_new {
+            return;
+        }
+        metrics::counter!("toucan_replaced_targets_total").increment(1);
+        log::info!(target: "target", name = target.as_str(); "another process answers at the target's address");
+        self.tell_all(PeerMessage::TargetReplaced {
+            target: target.clone(),
+            started_at_unix_ms,
+        });
+    }
+
     /// Records that a target wants no calls from this VM for some time.
     pub(crate) fn record_throttling_target(
         &self,
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -46,6 +46,7 @@
                 "software_version": target.entry.software_version.as_str(),
                 "draining": target.entry.draining,
                 "is_leaving": target.is_leaving,
+                "is_replaced": target.is_replaced,
                 "cold_ms": target.cold_until_ms.saturating_sub(now_ms),
                 "limit_per_s": target.limit.rate().map(CallRate::per_s),
                 "limited_ms": target.limited_ms(now_ms),
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -84,6 +84,13 @@
         /// Unix time of the target's start.
         started_at_unix_ms: u64,
     },
+    /// Tells that another process answers at a target's address.
+    TargetReplaced {
+        /// Target.
+        target: TargetName,
+        /// Unix time of the target's start.
+        started_at_unix_ms: u64,
+    },
     /// Tells that a target has named a limit on its calls, or names it no longer.
     TargetLimit(ToldLimit),
     /// Requests permits for calls to a target with a limit.
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -26,6 +26,9 @@
     pub prompt_cache: PromptCacheEstimate,
     /// Whether the target has stated that it is leaving.
     pub is_leaving: bool,
+    /// Whether another process answers at the target's address. The registration is then of a target that
+    /// has ended, until it is written again.
+    pub is_replaced: bool,
     /// Time until which the target wants no calls from this VM.
     pub throttled_until_ms: u64,
     /// Limit on the calls from all VMs together.
@@ -64,6 +67,7 @@
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
             is_leaving: false,
+            is_replaced: false,
             throttled_until_ms: 0,
             limit: LimitRecord::default(),
             cold_until_ms: 0,
@@ -86,10 +90,11 @@
         software_version.is_none_or(|version| self.entry.software_version == *version)
     }
 
-    /// Returns whether the target is registered and not leaving.
+    /// Returns whether the target is registered, is not leaving and has not been replaced.
     #[must_use]
     pub fn is_in_service(&self, now_ms: u64) -> bool {
-        !self.entry.draining && !self.is_leaving && !self.is_expired(now_ms)
+        let is_gone = self.is_replaced || self.is_expired(now_ms);
+        !self.entry.draining && !self.is_leaving && !is_gone
     }
 
     /// Returns whether new calls may be sent to the target now.
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -75,6 +75,8 @@
             return TargetChange::Started;
         };
         known.usable_until_ms = None;
+        // Only a target that lives writes its registration.
+        known.is_replaced = false;
         if entry.started_at_unix_ms < known.entry.started_at_unix_ms {
             // A delayed registration of an earlier start.
             return TargetChange::Other;
@@ -129,6 +131,20 @@
         !std::mem::replace(&mut target.is_leaving, true)
     }
 
+    /// Records that another process answers at the address of a target in the start that began at
+    /// `started_at_unix_ms`. It gets no calls until its registration is read again.
+    ///
+    /// Returns whether this was not known.
+    pub fn record_replaced(&mut self, name: &TargetName, started_at_unix_ms: u64) -> bool {
+        let Some(target) = self.by_name.get_mut(name) else {
+            return false;
+        };
+        if target.entry.started_at_unix_ms != started_at_unix_ms {
+            return false;
+        }
+        !std::mem::replace(&mut target.is_replaced, true)
+    }
+
     /// Records that a target, in the start that began at `started_at_unix_ms`, wants no calls from
     /// this VM for some time.
     ///
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -54,6 +54,8 @@
 pub(crate) struct TargetNotice {
     /// Whether it is leaving.
     pub(crate) is_leaving: bool,
+    /// Whether another process answers at its address.
+    pub(crate) is_replaced: bool,
     /// Time for which it wants no calls from this VM.
     pub(crate) throttle: Option<Duration>,
     /// What it states about a limit on its calls; [`None`] if the response is not its own answer to the
@@ -121,9 +123,11 @@
     let head = format.read_response(parts.status, &parts.headers);
     let is_of_other_call = head.id.as_ref().is_some_and(|id| id != exchange.id);
     // Another process at the target's address answers that it is the wrong one.
-    let is_of_target = !is_of_other_call && parts.status != StatusCode::MISDIRECTED_REQUEST;
+    let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    let is_of_target = !is_of_other_call && !is_misdirected;
     *exchange.notice = TargetNotice {
         is_leaving: head.is_leaving,
+        is_replaced: is_misdirected && !is_of_other_call,
         throttle: head.throttle,
         limit: is_of_target.then_some(head.limit),
     };
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -250,6 +250,9 @@
     if notice.is_leaving {
         gateway.record_leaving_target(&target.name, target.started_at_unix_ms);
     }
+    if notice.is_replaced {
+        gateway.record_replaced_target(&target.name, target.started_at_unix_ms);
+    }
     if let Some(throttle) = notice.throttle {
         gateway.record_throttling_target(&target.name, target.started_at_unix_ms, throttle);
     }
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -229,6 +229,15 @@
                 member.recovery = recovery;
             }
         }
+        PeerMessage::TargetReplaced {
+            target,
+            started_at_unix_ms,
+        } => {
+            let targets = &mut gateway.state.borrow_mut().targets;
+            if targets.record_replaced(&target, started_at_unix_ms) {
+                log::info!(target: "target", name = target.as_str(), vm = datagram.vm.as_str(); "another gateway tells that another process answers at the target's address");
+            }
+        }
         PeerMessage::TargetLeaving {
             target,
             started_at_unix_ms,
