Send nothing to the targets of an evacuated data centre

What callers saw: an operator's order to evacuate a data centre (key evacuate/NAME in the topic of the configuration) had no effect; new calls, second sends and resumed streams went on reaching its targets. Cause: keys of that kind were skipped, and no choice of a target knew of orders. Change: the task that reads the configuration also reads the orders (config/evacuations.rs) and keeps those that a restored store has lost. TargetScope filters each choice and the shortest pause; a call that has waited for a permit is checked again; idle connections are closed. A call for which only evacuated targets are left is refused before tokens are reserved: 503, not run, data_centres_evacuated. Reads of the partition wait for a quarter of bounds.evacuateMs at most.

--- a/crates/toucan_gateway/src/config/mod.rs
+++ b/crates/toucan_gateway/src/config/mod.rs
@@ -1,6 +1,7 @@
 //! The configuration and target registrations, independent of the deployment's formats.
 
 mod caller_limits;
+mod evacuations;
 mod fleet_config;
 mod key_digest;
 mod organisation;
@@ -11,6 +12,7 @@
 mod target_entry;
 
 pub use caller_limits::CallerLimits;
+pub use evacuations::Evacuations;
 pub use fleet_config::FleetConfig;
 pub use key_digest::KeyDigest;
 pub use organisation::Organisation;
--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -64,6 +64,8 @@
     TargetFailed,
     /// the target did not answer in time and may have run the call
     TargetSilent,
+    /// the data centres of all targets that could take the call are evacuated
+    DataCentresEvacuated,
 }
 
 impl std::error::Error for Refusal {}
@@ -91,7 +93,8 @@
             | Self::PoisonCall { .. }
             | Self::OnTrial
             | Self::TooLate
-            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Stopping
+            | Self::DataCentresEvacuated => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -117,6 +120,8 @@
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable | Self::OnTrial => 1_000,
+            // Nobody knows when the operators withdraw the order; a gateway learns of it within this time.
+            Self::DataCentresEvacuated => 1_000,
             // Tokens become available only when other calls cost less than they reserved, or after
             // a top-up.
             Self::BudgetInUse => 5_000,
@@ -160,6 +165,7 @@
             Self::Stopping => "stopping",
             Self::TargetFailed => "target_failed",
             Self::TargetSilent => "target_silent",
+            Self::DataCentresEvacuated => "data_centres_evacuated",
         }
     }
 }
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -43,6 +43,7 @@
             json!({
                 "name": target.entry.name.as_str(),
                 "service": target.entry.service.as_str(),
+                "data_centre": target.entry.data_centre.as_str(),
                 "software_version": target.entry.software_version.as_str(),
                 "draining": target.entry.draining,
                 "is_leaving": target.is_leaving,
@@ -94,9 +95,21 @@
             })
         })
         .collect();
+    let evacuated: Vec<_> = state
+        .evacuations
+        .sorted()
+        .into_iter()
+        .map(|(data_centre, since_ms)| {
+            json!({
+                "data_centre": data_centre.as_str(),
+                "for_ms": now_ms.saturating_sub(since_ms),
+            })
+        })
+        .collect();
     json!({
         "vm": gateway.settings.vm.as_str(),
         "configuration": state.config.as_ref().map(|config| config.version.0),
+        "evacuated": evacuated,
         "is_ready": state.is_ready(),
         "calls_in_progress": state.calls_in_progress,
         "gateways": state.members.process_count(now_ms),
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -190,7 +190,9 @@
         let is_in_use = |name: &TargetName| {
             let state = gateway.state.borrow();
             let target = state.targets.get(name);
-            target.is_some_and(|target| !target.is_leaving)
+            target.is_some_and(|target| {
+                !target.is_leaving && !state.evacuations.contains(&target.entry.data_centre)
+            })
         };
         gateway.pool.sweep(is_in_use, gateway.now_ms());
     }
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -6,7 +6,7 @@
 
 use crate::{config::EngineSettings, wire_format::PromptPart};
 
-use super::{TargetState, TargetTable};
+use super::{TargetScope, TargetState, TargetTable};
 
 /// Settings of [`choose_target`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -72,6 +72,8 @@
     pub data_centre: &'a DataCentreName,
     /// Only software version that may get the call; [`None`] if every version may.
     pub software_version: Option<&'a SoftwareVersion>,
+    /// Data centres whose targets may get the call.
+    pub scope: TargetScope<'a>,
     /// Targets that the call has already been tried at.
     pub tried: &'a [TargetName],
     /// Targets that have granted no permit for the call.
@@ -98,6 +100,7 @@
         .of_service(service)
         .filter(|target| target.accepts_calls(now_ms))
         .filter(|target| target.has_version(request.software_version))
+        .filter(|target| request.scope.admits(&target.entry.data_centre))
         .filter(|target| !request.tried.contains(&target.entry.name))
         .filter(|target| !request.denied.contains(&target.entry.name))
         .filter(|target| target.in_flight < request.max_in_flight)
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -6,6 +6,7 @@
 mod overload;
 mod prompt_cache_estimate;
 mod reachability;
+mod target_scope;
 mod target_state;
 mod target_table;
 
@@ -15,5 +16,6 @@
 pub use overload::overload_retry_after_ms;
 pub use prompt_cache_estimate::PromptCacheEstimate;
 pub use reachability::Reachability;
+pub use target_scope::{Exclusion, TargetScope};
 pub use target_state::TargetState;
 pub use target_table::{Avoided, Pause, TargetChange, TargetTable};
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -6,7 +6,7 @@
 
 use crate::{config::TargetEntry, limits::LimitRecord};
 
-use super::{CallOutcome, Reachability, TargetState};
+use super::{CallOutcome, Exclusion, Reachability, TargetScope, TargetState};
 
 /// Longest time for which a target can throttle a VM. A wrong value must not take a target out for good.
 const MAX_THROTTLE: Duration = Duration::from_mins(10);
@@ -163,8 +163,48 @@
         (target.entry.started_at_unix_ms == started_at_unix_ms).then_some(&mut target.limit)
     }
 
+    /// Returns why no target in service that runs `software_version`, or any version if it is [`None`], may
+    /// get a call; [`None`] if one may or none is in service.
+    #[must_use]
+    pub fn exclusion(
+        &self,
+        service: &ServiceName,
+        software_version: Option<&SoftwareVersion>,
+        scope: &TargetScope<'_>,
+        now_ms: u64,
+    ) -> Option<Exclusion> {
+        let exclusions = self
+            .of_service(service)
+            .filter(|target| target.is_in_service(now_ms))
+            .filter(|target| target.has_version(software_version))
+            .map(|target| scope.exclusion(&target.entry.data_centre));
+        let mut reason = None;
+        for exclusion in exclusions {
+            // An exclusion that will end tells the caller more than one that is for good.
+            reason = reason.max(Some(exclusion?));
+        }
+        reason
+    }
+
+    /// Returns whether a target that was chosen may still get the call: it has not restarted, is in service,
+    /// and its data centre is not excluded.
+    #[must_use]
+    pub fn is_still_eligible(
+        &self,
+        chosen: &TargetEntry,
+        scope: &TargetScope<'_>,
+        now_ms: u64,
+    ) -> bool {
+        self.get(&chosen.name).is_some_and(|target| {
+            target.entry.started_at_unix_ms == chosen.started_at_unix_ms
+                && target.is_in_service(now_ms)
+                && scope.admits(&target.entry.data_centre)
+        })
+    }
+
     /// Returns the pause until the first of a service's targets that run `software_version`, or any
     /// version if it is [`None`], takes calls again; [`None`] if one takes them now or none is in service.
+    /// Targets outside `scope` do not count.
     ///
     /// Targets in `denied` have just granted no permit for a call.
     #[must_use]
@@ -172,6 +212,7 @@
         &self,
         service: &ServiceName,
         software_version: Option<&SoftwareVersion>,
+        scope: &TargetScope<'_>,
         denied: &[TargetName],
         now_ms: u64,
     ) -> Option<Pause> {
@@ -179,6 +220,7 @@
             .of_service(service)
             .filter(|target| target.is_in_service(now_ms))
             .filter(|target| target.has_version(software_version))
+            .filter(|target| scope.admits(&target.entry.data_centre))
             .map(|target| {
                 let is_denied = denied.contains(&target.entry.name);
                 let min_ms = if is_denied { MIN_DENIED_PAUSE_MS } else { 0 };
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -6,9 +6,11 @@
     Gateway, Platform, Refusal,
     config::TargetEntry,
     placement::{
-        ChoiceRequest, ChoiceSettings, Pause, TargetTable, choose_target, overload_retry_after_ms,
+        ChoiceRequest, ChoiceSettings, Exclusion, Pause, TargetScope, TargetTable, choose_target,
+        overload_retry_after_ms,
     },
     retries::{CallProgress, connection_share},
+    state::GatewayState,
 };
 
 use super::{call::Call, read_call::hash_id, send::Refused};
@@ -29,6 +31,7 @@
         parts: &call.head.prompt_parts,
         data_centre: &gateway.settings.data_centre,
         software_version: call.origin.as_ref().map(|origin| &origin.software_version),
+        scope: target_scope(&state, call),
         tried: &call.tried,
         denied: &call.denied,
         max_in_flight: max_connections,
@@ -46,6 +49,26 @@
     })
 }
 
+/// Returns the data centres whose targets may get a call.
+const fn target_scope<'a>(state: &'a GatewayState, _call: &'a Call) -> TargetScope<'a> {
+    TargetScope {
+        evacuations: Some(&state.evacuations),
+    }
+}
+
+/// Returns whether a chosen target may still get a call that has waited since.
+pub(crate) fn is_still_eligible<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    target: &TargetEntry,
+) -> bool {
+    let state = gateway.state.borrow();
+    let scope = target_scope(&state, call);
+    state
+        .targets
+        .is_still_eligible(target, &scope, gateway.now_ms())
+}
+
 /// A target chosen for a call.
 pub(crate) struct ChosenTarget {
     /// Registration of the target.
@@ -76,14 +99,19 @@
     let now_ms = gateway.now_ms();
     let state = gateway.state.borrow();
     let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
-    let pause = state
-        .targets
-        .shortest_pause(&call.service, software_version, &call.denied, now_ms);
+    let scope = target_scope(&state, call);
+    let targets = &state.targets;
+    let exclusion = targets.exclusion(&call.service, software_version, &scope, now_ms);
+    if let Some(exclusion) = exclusion {
+        return refusal_of_exclusion(exclusion);
+    }
+    let denied = &call.denied;
+    let pause = targets.shortest_pause(&call.service, software_version, &scope, denied, now_ms);
     if let Some(pause) = pause {
         return refusal_of_pause(pause);
     }
     match call.progress {
-        CallProgress { sends: 0, .. } if is_version_gone(&state.targets, call, now_ms) => {
+        CallProgress { sends: 0, .. } if is_version_gone(targets, call, now_ms) => {
             Refusal::NoTargetOfVersion
         }
         CallProgress { sends: 0, .. } => Refusal::NoTarget,
@@ -91,21 +119,36 @@
     }
 }
 
-/// Refuses a call at once if each target that could take it throttles this VM or has reached its limit.
-pub(crate) fn refuse_during_pause<P: Platform>(
+/// Refuses a call at once if each target that could take it is excluded, throttles this VM or has reached
+/// its limit.
+pub(crate) fn refuse_without_target<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
 ) -> Result<(), Refused> {
     let now_ms = gateway.now_ms();
     let state = gateway.state.borrow();
     let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
+    let scope = target_scope(&state, call);
     let targets = &state.targets;
-    match targets.shortest_pause(&call.service, software_version, &[], now_ms) {
+    let exclusion = targets.exclusion(&call.service, software_version, &scope, now_ms);
+    if let Some(exclusion) = exclusion {
+        return Err((
+            refusal_of_exclusion(exclusion),
+            "no target may get the call",
+        ));
+    }
+    match targets.shortest_pause(&call.service, software_version, &scope, &[], now_ms) {
         Some(pause) => Err((refusal_of_pause(pause), "no target takes calls now")),
         None => Ok(()),
     }
 }
 
+const fn refusal_of_exclusion(exclusion: Exclusion) -> Refusal {
+    match exclusion {
+        Exclusion::Evacuated => Refusal::DataCentresEvacuated,
+    }
+}
+
 const fn refusal_of_pause(pause: Pause) -> Refusal {
     let Pause {
         return_ms,
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -20,7 +20,7 @@
 
 use super::{
     call::{Call, CallTracker},
-    choose::{ChosenTarget, choose_for_call, refusal_without_target},
+    choose::{ChosenTarget, choose_for_call, is_still_eligible, refusal_without_target},
     collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     in_flight_call::InFlightCall,
@@ -96,6 +96,10 @@
             call.denied.push(target.name.clone());
             continue;
         }
+        if !is_still_eligible(gateway, call, target) {
+            // The wait for the permit was long enough for an order or a registration to arrive.
+            continue;
+        }
         let failure = match send_once(gateway, call, tracker, &chosen, last_event_id).await {
             Ok(received) => return Ok(received),
             Err(failure) => failure,
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -12,7 +12,7 @@
 
 use super::{
     call::{Call, CallTracker},
-    choose::refuse_during_pause,
+    choose::refuse_without_target,
     poison_trial::refuse_condemned,
     read_call::read_call,
     relay::relay_events,
@@ -88,7 +88,7 @@
     }
     refuse_condemned(gateway, &call)?;
     resolve_origin(gateway, &mut call).await?;
-    refuse_during_pause(gateway, &call)?;
+    refuse_without_target(gateway, &call)?;
     let now_ms = gateway.now_ms();
     gateway
         .state
--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -61,6 +61,8 @@
     pub retry_slack: u32,
     /// Maximum number of partitions of a topic.
     pub most_partitions: u32,
+    /// Time after which no call may reach a data centre whose evacuation the store has acknowledged.
+    pub evacuate_ms: u64,
 }
 
 impl Default for Bounds {
@@ -71,6 +73,7 @@
             retry_ratio: 0.1,
             retry_slack: 10,
             most_partitions: 1,
+            evacuate_ms: 5_000,
         }
     }
 }
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     budget::{RestoreGate, Wallet},
-    config::FleetConfig,
+    config::{Evacuations, FleetConfig},
     limits::{CallRate, PermitGrant, PermitGranter},
     peers::{GatewayLocation, Members},
     placement::TargetTable,
@@ -30,6 +30,10 @@
 pub(crate) struct GatewayState {
     /// Current configuration; [`None`] until one has been read.
     pub(crate) config: Option<Rc<FleetConfig>>,
+    /// Evacuated data centres.
+    pub(crate) evacuations: Evacuations,
+    /// Whether all targets are in evacuated data centres, as last reported.
+    pub(crate) all_evacuated: bool,
     /// Registered targets; empty until they have been read.
     pub(crate) targets: TargetTable,
     /// Software versions that the targets have recently run.
@@ -182,6 +186,14 @@
         self.restore_gate.update(recoveries, now_ms)
     }
 
+    /// Returns whether there are targets and all of them are in evacuated data centres.
+    pub(crate) fn are_all_targets_evacuated(&self) -> bool {
+        let mut targets = self.targets.iter().peekable();
+        !self.evacuations.is_empty()
+            && targets.peek().is_some()
+            && targets.all(|target| self.evacuations.contains(&target.entry.data_centre))
+    }
+
     /// Notes which gateways are heard from, and forgets the permits for targets that have ended.
     pub(crate) fn observe_members(&mut self, now_ms: u64) {
         if self.members_loaded {
--- a/crates/toucan_gateway/src/tasks/config_watch.rs
+++ b/crates/toucan_gateway/src/tasks/config_watch.rs
@@ -10,19 +10,32 @@
     keyed_log::{ReadRecord, Topic},
 };
 
-use super::{partition_consumer::PartitionConsumer, store_health::StoreHealth};
+use super::{
+    evacuation_records::EvacuationRecords, partition_consumer::PartitionConsumer,
+    store_health::StoreHealth,
+};
 
-/// Maximum time for which one read waits for a new record.
-const LONG_POLL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest time for which one read waits for a new record.
+const MAX_READ_WAIT_MS: u64 = 2_000;
+/// Shortest time for which one read waits for a new record.
+const MIN_READ_WAIT_MS: u64 = 100;
+/// Part of the bound for evacuations for which one read waits. An answer that is lost costs this wait and the
+/// timeout of the store's answer, and the next read must still come within the bound.
+const READ_WAIT_PER_BOUND: u64 = 4;
 
-/// Applies new configurations until the process ends.
+/// Applies new configurations and evacuations until the process ends.
 pub(crate) async fn watch_config<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut consumer = PartitionConsumer::new(Topic::Configuration, 0);
     let mut health = StoreHealth::new("configuration");
+    let mut evacuations = EvacuationRecords::default();
     loop {
-        match consumer.read(&gateway.platform, LONG_POLL_TIMEOUT).await {
+        let wait_ms = gateway.bounds().evacuate_ms / READ_WAIT_PER_BOUND;
+        let wait = Duration::from_millis(wait_ms.clamp(MIN_READ_WAIT_MS, MAX_READ_WAIT_MS));
+        match consumer.read(&gateway.platform, wait).await {
             Ok(consumed) => {
                 health.record_success(gateway.now_ms());
+                // The gateway is ready once it has a configuration, so the evacuations come first.
+                evacuations.apply(&gateway, &consumed);
                 apply_newest(&gateway, &consumed.batch.records);
             }
             Err(error) => {
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks of a gateway.
 
 pub(crate) mod config_watch;
+pub(crate) mod evacuation_records;
 pub(crate) mod grant_sync;
 mod loan_exchange;
 pub(crate) mod membership;
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -41,6 +41,7 @@
                 }
                 remove_expired(&gateway, now_ms);
                 record_read(&gateway, now_ms);
+                gateway.report_if_all_evacuated();
                 sleep(POLL_INTERVAL).await;
             }
             Err(error) => sleep(health.record_failure(&error, gateway.now_ms())).await,
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
-use toucan_types::{Finding, OrganisationName, RequestId, TargetName, Tokens};
+use toucan_types::{DataCentreName, Finding, OrganisationName, RequestId, TargetName, Tokens};
 
 use crate::{
     config::{FleetConfig, TargetEntry},
@@ -163,6 +163,14 @@
     /// Returns whether `key` is the key of the configuration in its topic.
     fn is_config_key(&self, key: &str) -> bool;
 
+    /// Returns the data centre that `key`, in the topic of the configuration, evacuates; [`None`] if the key
+    /// is of another kind.
+    ///
+    /// # Errors
+    ///
+    /// A finding if the key names no data centre.
+    fn evacuated_data_centre(&self, key: &str) -> Option<Result<DataCentreName, Finding>>;
+
     /// Parses a target's registration, stored under `key`.
     ///
     /// # Errors
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -7,7 +7,7 @@
     config::{EngineSettings, TargetEntry},
     placement::{
         CallOutcome, ChoiceRequest, ChoiceSettings, DeregistrationGrace, FailureHistory, Pause,
-        TargetChange, TargetState, TargetTable, choose_target,
+        TargetChange, TargetScope, TargetState, TargetTable, choose_target,
     },
     wire_format::{PartId, PromptPart},
 };
@@ -70,6 +70,7 @@
         parts,
         data_centre: &data_centre,
         software_version: None,
+        scope: TargetScope::default(),
         tried,
         denied: &[],
         max_in_flight: 100,
@@ -175,7 +176,7 @@
     let chosen = choose(&table, &prompt(1), &[], 1, 500).expect("t1 does not throttle");
     assert_eq!(chosen.entry.name.as_str(), "t1");
     assert_eq!(
-        table.shortest_pause(service, None, &[], 500),
+        table.shortest_pause(service, None, &TargetScope::default(), &[], 500),
         None,
         "t1 does not throttle"
     );
@@ -185,7 +186,10 @@
         return_ms: 600,
         is_limit: false,
     };
-    assert_eq!(table.shortest_pause(service, None, &[], 400), Some(pause));
+    assert_eq!(
+        table.shortest_pause(service, None, &TargetScope::default(), &[], 400),
+        Some(pause)
+    );
     assert!(choose(&table, &prompt(1), &[], 1, 1_000).is_some());
     table.register(entry("t1", 2), 0);
     assert!(
--- a/crates/toucanctl/src/commands/explain_log.rs
+++ b/crates/toucanctl/src/commands/explain_log.rs
@@ -59,6 +59,10 @@
         "overloaded",
         "the best engine was too far behind; the caller was told when to come back",
     ),
+    (
+        "data_centres_evacuated",
+        "all targets that could take the call are in data centres that the operators have evacuated",
+    ),
     (
         "target_failed",
         "a target failed and may have run the call, which may not be repeated",
