Keep calls in the regions that their route and organisation allow

What callers saw: allowedRegions of a route or an organisation had no effect, so calls reached targets in any region; and of two data centres other than the gateway's own, one in another region got as many calls as one in the same region. Cause: neither the lists nor the regions of the settings were read, and a choice knew data centres only. Change: region and zones of the settings become a RegionTable, allowedRegions becomes AllowedRegions; TargetScope excludes what is outside either list. A call for which no target is left is refused at once: 503, not run, no_target_in_regions. A target in another region costs a round trip in the choice, and each region has its own affinity target for a prompt.

--- a/crates/toucan_gateway/src/config/evacuations.rs
+++ b/crates/toucan_gateway/src/config/evacuations.rs
@@ -78,8 +78,7 @@
     /// Returns whether the targets of a data centre get no calls.
     #[must_use]
     pub fn contains(&self, data_centre: &DataCentreName) -> bool {
-        // Usually nothing is evacuated, and the name need not be hashed.
-        !self.is_empty() && self.by_data_centre.contains_key(data_centre)
+        self.by_data_centre.contains_key(data_centre)
     }
 
     /// Returns whether no data centre is evacuated.
--- a/crates/toucan_gateway/src/config/organisation.rs
+++ b/crates/toucan_gateway/src/config/organisation.rs
@@ -2,7 +2,7 @@
 
 use toucan_types::{OrganisationName, Tokens};
 
-use super::KeyDigest;
+use super::{AllowedRegions, KeyDigest};
 
 /// An organisation with its keys and its prepaid tokens.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -15,4 +15,6 @@
     pub priority: u8,
     /// Total tokens that it may spend; [`None`] if its calls are not metered.
     pub prepaid: Option<Tokens>,
+    /// Regions that its calls may reach.
+    pub allowed_regions: AllowedRegions,
 }
--- a/crates/toucan_gateway/src/config/route.rs
+++ b/crates/toucan_gateway/src/config/route.rs
@@ -2,6 +2,8 @@
 
 use toucan_types::ServiceName;
 
+use super::AllowedRegions;
+
 /// Whether and how a route's calls may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -62,6 +64,8 @@
     pub max_targets: u32,
     /// Whether callers need no key.
     pub is_public: bool,
+    /// Regions that calls may reach.
+    pub allowed_regions: AllowedRegions,
 }
 
 impl Route {
--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -66,6 +66,8 @@
     TargetSilent,
     /// the data centres of all targets that could take the call are evacuated
     DataCentresEvacuated,
+    /// all targets that could take the call are outside the regions that it may reach
+    NoTargetInRegions,
 }
 
 impl std::error::Error for Refusal {}
@@ -94,7 +96,8 @@
             | Self::OnTrial
             | Self::TooLate
             | Self::Stopping
-            | Self::DataCentresEvacuated => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::DataCentresEvacuated
+            | Self::NoTargetInRegions => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -120,8 +123,9 @@
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable | Self::OnTrial => 1_000,
-            // Nobody knows when the operators withdraw the order; a gateway learns of it within this time.
-            Self::DataCentresEvacuated => 1_000,
+            // It is not known when the operators withdraw the order, or when a target in the regions
+            // registers. Gateways read either within this time.
+            Self::DataCentresEvacuated | Self::NoTargetInRegions => 1_000,
             // Tokens become available only when other calls cost less than they reserved, or after
             // a top-up.
             Self::BudgetInUse => 5_000,
@@ -166,6 +170,7 @@
             Self::TargetFailed => "target_failed",
             Self::TargetSilent => "target_silent",
             Self::DataCentresEvacuated => "data_centres_evacuated",
+            Self::NoTargetInRegions => "no_target_in_regions",
         }
     }
 }
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -26,6 +26,8 @@
     pub failure_penalty_ms: f64,
     /// Penalty for a target in another data centre.
     pub cross_data_centre_penalty_ms: f64,
+    /// Penalty for a target in another region: a round trip, which takes 24 to 40 ms.
+    pub cross_region_penalty_ms: f64,
     /// Weight of the time to process uncached shared parts. It exceeds 1, because processing them
     /// delays the target's other calls and evicts cached prompts.
     pub cache_miss_weight: f64,
@@ -44,6 +46,7 @@
             delay_ms_per_slot: 40.0,
             failure_penalty_ms: 2_000.0,
             cross_data_centre_penalty_ms: 2.0,
+            cross_region_penalty_ms: 40.0,
             cache_miss_weight: 6.0,
             affinity_miss_fraction: 0.05,
         }
@@ -84,6 +87,14 @@
     pub tie_break_seed: u64,
 }
 
+impl ChoiceRequest<'_> {
+    /// Returns whether a target is known to be in another region than this VM.
+    fn is_in_other_region(&self, target: &TargetState) -> bool {
+        self.scope
+            .are_in_different_regions(self.data_centre, &target.entry.data_centre)
+    }
+}
+
 /// Returns the best target of a service for a call; [`None`] if no target may get it.
 ///
 /// Calls with the same shared prompt parts go to the same target as long as its cache saves more
@@ -108,12 +119,12 @@
     let any_healthy = candidates
         .iter()
         .any(|target| !table.is_avoided(target, now_ms));
-    let affinity_target = find_affinity_target(request, &candidates);
+    let affinity_targets = find_affinity_targets(request, &candidates);
     candidates
         .into_iter()
         .filter(|target| !any_healthy || !table.is_avoided(target, now_ms))
         .map(|target| {
-            let is_affinity_target = affinity_target == Some(&target.entry.name);
+            let is_affinity_target = affinity_targets.contains(&Some(&target.entry.name));
             let delay_ms = expected_delay_ms(request, target, is_affinity_target, settings, now_ms);
             (
                 delay_ms,
@@ -155,6 +166,8 @@
     let failure_ms = target.failures.failure_rate() * settings.failure_penalty_ms;
     let distance_ms = if &target.entry.data_centre == request.data_centre {
         0.0
+    } else if request.is_in_other_region(target) {
+        settings.cross_region_penalty_ms
     } else {
         settings.cross_data_centre_penalty_ms
     };
@@ -197,19 +210,26 @@
     }
 }
 
-/// Returns the affinity target, which all VMs prefer for the prompt's shared parts.
+/// Returns the affinity targets, which all VMs of a region prefer for the prompt's shared parts: the one of this
+/// VM's region, and one of another region.
 ///
-/// It is found by rendezvous hashing.
-fn find_affinity_target<'a>(
+/// They are found by rendezvous hashing. Each region has its own, so that a prompt does not cross regions for a
+/// cache that a target of its region soon has too, and finds a cache there when its region is full.
+fn find_affinity_targets<'a>(
     request: &ChoiceRequest<'_>,
     candidates: &[&'a TargetState],
-) -> Option<&'a TargetName> {
-    let key = shared_prefix_key(request.parts)?;
-    candidates
-        .iter()
-        .map(|target| (target_hash(key, &target.entry.name), &target.entry.name))
-        .max()
-        .map(|(_hash, name)| name)
+) -> [Option<&'a TargetName>; 2] {
+    let Some(key) = shared_prefix_key(request.parts) else {
+        return [None, None];
+    };
+    [false, true].map(|is_other_region| {
+        candidates
+            .iter()
+            .filter(|target| request.is_in_other_region(target) == is_other_region)
+            .map(|target| (target_hash(key, &target.entry.name), &target.entry.name))
+            .max()
+            .map(|(_hash, name)| name)
+    })
 }
 
 /// Returns the id of the last part that other calls may share: the last but one, or the only one.
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -31,7 +31,7 @@
         parts: &call.head.prompt_parts,
         data_centre: &gateway.settings.data_centre,
         software_version: call.origin.as_ref().map(|origin| &origin.software_version),
-        scope: target_scope(&state, call),
+        scope: target_scope(gateway, &state, call),
         tried: &call.tried,
         denied: &call.denied,
         max_in_flight: max_connections,
@@ -50,9 +50,17 @@
 }
 
 /// Returns the data centres whose targets may get a call.
-const fn target_scope<'a>(state: &'a GatewayState, _call: &'a Call) -> TargetScope<'a> {
+fn target_scope<'a, P: Platform>(
+    gateway: &'a Gateway<P>,
+    state: &'a GatewayState,
+    call: &'a Call,
+) -> TargetScope<'a> {
+    let organisation = call.organisation.as_deref();
     TargetScope {
         evacuations: Some(&state.evacuations),
+        regions: Some(&gateway.settings.regions),
+        route_regions: Some(&call.route.allowed_regions),
+        organisation_regions: organisation.map(|organisation| &organisation.allowed_regions),
     }
 }
 
@@ -63,7 +71,7 @@
     target: &TargetEntry,
 ) -> bool {
     let state = gateway.state.borrow();
-    let scope = target_scope(&state, call);
+    let scope = target_scope(gateway, &state, call);
     state
         .targets
         .is_still_eligible(target, &scope, gateway.now_ms())
@@ -99,7 +107,7 @@
     let now_ms = gateway.now_ms();
     let state = gateway.state.borrow();
     let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
-    let scope = target_scope(&state, call);
+    let scope = target_scope(gateway, &state, call);
     let targets = &state.targets;
     let exclusion = targets.exclusion(&call.service, software_version, &scope, now_ms);
     if let Some(exclusion) = exclusion {
@@ -128,7 +136,7 @@
     let now_ms = gateway.now_ms();
     let state = gateway.state.borrow();
     let software_version = call.origin.as_ref().map(|origin| &origin.software_version);
-    let scope = target_scope(&state, call);
+    let scope = target_scope(gateway, &state, call);
     let targets = &state.targets;
     let exclusion = targets.exclusion(&call.service, software_version, &scope, now_ms);
     if let Some(exclusion) = exclusion {
@@ -145,6 +153,7 @@
 
 const fn refusal_of_exclusion(exclusion: Exclusion) -> Refusal {
     match exclusion {
+        Exclusion::OutsideRegions => Refusal::NoTargetInRegions,
         Exclusion::Evacuated => Refusal::DataCentresEvacuated,
     }
 }
--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -4,6 +4,8 @@
 
 use toucan_types::{DataCentreName, VmName};
 
+use crate::config::RegionTable;
+
 /// Settings with which a gateway starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -11,6 +13,8 @@
     pub vm: VmName,
     /// Data centre of the VM.
     pub data_centre: DataCentreName,
+    /// Regions of this and other data centres.
+    pub regions: RegionTable,
     /// Address on which callers' connections are accepted.
     pub caller_address: SocketAddrV4,
     /// Address for the readiness probes of the load balancer.
--- a/crates/toucan_gateway/tests/configuration.rs
+++ b/crates/toucan_gateway/tests/configuration.rs
@@ -2,7 +2,8 @@
 
 use test_case::test_case;
 use toucan_gateway::config::{
-    KeyDigest, Organisation, OrganisationTable, Route, RouteKind, RouteTable, WeightedService,
+    AllowedRegions, KeyDigest, Organisation, OrganisationTable, Route, RouteKind, RouteTable,
+    WeightedService,
 };
 use toucan_types::{OrganisationName, ServiceName, Tokens};
 
@@ -21,6 +22,7 @@
         priority: 0,
         max_targets: 1,
         is_public: false,
+        allowed_regions: AllowedRegions::default(),
     }
 }
 
@@ -64,6 +66,7 @@
         keys: vec![KeyDigest::of("k1"), KeyDigest::of("k2")],
         priority: 0,
         prepaid: Some(Tokens(5)),
+        allowed_regions: AllowedRegions::default(),
     }]);
     assert!(organisations.by_key("k1").is_some() && organisations.by_key("k2").is_some());
     assert!(organisations.by_key("k3").is_none());
--- a/crates/toucan_gateway/tests/evacuations.rs
+++ b/crates/toucan_gateway/tests/evacuations.rs
@@ -84,6 +84,7 @@
     let (here, elsewhere) = (evacuations(&["a"]), evacuations(&["b"]));
     let scope_of = |evacuations| TargetScope {
         evacuations: Some(evacuations),
+        ..TargetScope::default()
     };
     assert!(table.is_still_eligible(&chosen, &scope_of(&elsewhere), 0));
     assert!(!table.is_still_eligible(&chosen, &scope_of(&here), 0));
@@ -102,6 +103,7 @@
     let evacuations = evacuations(evacuated);
     let scope = TargetScope {
         evacuations: Some(&evacuations),
+        ..TargetScope::default()
     };
     table.exclusion(&ServiceName::from("s"), None, &scope, 0)
 }
--- a/crates/toucan_types/src/lib.rs
+++ b/crates/toucan_types/src/lib.rs
@@ -25,8 +25,8 @@
 pub use finding::Finding;
 pub use incarnation::IncarnationId;
 pub use names::{
-    AdapterName, BudgetName, ModelName, OrganisationName, RequestId, ServiceName, SoftwareVersion,
-    StreamName, TargetName, TeamName, VersionName, VmInstance, VmName,
+    AdapterName, BudgetName, ModelName, OrganisationName, RegionName, RequestId, ServiceName,
+    SoftwareVersion, StreamName, TargetName, TeamName, VersionName, VmInstance, VmName,
 };
 pub use numbers::{DocumentVersion, FencingNumber, Offset, Sequence};
 pub use permille::Permille;
--- a/crates/toucan_types/src/names.rs
+++ b/crates/toucan_types/src/names.rs
@@ -18,6 +18,10 @@
     /// Name of an organisation, which owns budgets and API keys.
     OrganisationName
 );
+name_type!(
+    /// Name of a region, in which data centres lie.
+    RegionName
+);
 name_type!(
     /// Identifier of one request, set by the caller or else by the first router; retries repeat
     /// it.
--- a/crates/toucanctl/src/commands/explain_log.rs
+++ b/crates/toucanctl/src/commands/explain_log.rs
@@ -63,6 +63,10 @@
         "data_centres_evacuated",
         "all targets that could take the call are in data centres that the operators have evacuated",
     ),
+    (
+        "no_target_in_regions",
+        "no target was in service in a region that the route and the organisation both allow",
+    ),
     (
         "target_failed",
         "a target failed and may have run the call, which may not be repeated",
