--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -190,7 +190,10 @@
         let is_in_use = |name: &TargetName| {
             let state = gateway.state.borrow();
             let target = state.targets.get(name);
-            target.is_some_and(|target| !target.is_leaving && !target.is_replaced)
+            target.is_some_and(|target| {
+                let is_evacuated = state.evacuations.contains(&target.entry.data_centre);
+                !target.is_leaving && !target.is_replaced && !is_evacuated
+            })
         };
         gateway.pool.sweep(is_in_use, gateway.now_ms());
     }
--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -4,6 +4,8 @@
 
 use toucan_types::{DataCentreName, VmName};
 
+use crate::config::RegionTable;
+
 /// Settings with which a gateway starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -11,6 +13,8 @@
     pub vm: VmName,
     /// Data centre of the VM.
     pub data_centre: DataCentreName,
+    /// Regions of this and other data centres.
+    pub regions: RegionTable,
     /// Address on which callers' connections are accepted.
     pub caller_address: SocketAddrV4,
     /// Address for the readiness probes of the load balancer.
@@ -61,6 +65,8 @@
     pub retry_slack: u32,
     /// Maximum number of partitions of a topic.
     pub most_partitions: u32,
+    /// Time after which no call may reach a data centre whose evacuation the store has acknowledged.
+    pub evacuate_ms: u64,
 }
 
 impl Default for Bounds {
@@ -71,6 +77,7 @@
             retry_ratio: 0.1,
             retry_slack: 10,
             most_partitions: 1,
+            evacuate_ms: 5_000,
         }
     }
 }
