Learn the pace of each target from first events and pauses

Callers of a pool whose targets differ in speed saw late first events at the slow ones, because one constant stood for all of them.

Each gateway samples the time to the first event and the pauses between events, less the time in which the target processed the prompts of other calls. Gateways tell each other the mean and the number of their samples in LoadReport, together with the prompt tokens that were processed. A target is compared to the mean of its service; differences of less than 15 in 100 count as none. choose_target and estimate use the result. A gateway that hears from no other uses its own samples, and a target that restarts begins without any.

--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -57,6 +57,8 @@
                 "throttled_ms": target.throttled_until_ms.saturating_sub(now_ms),
                 "in_flight": target.in_flight,
                 "load": target.load(now_ms),
+                "slowness": target.pace.slowness(),
+                "pace_confidence": target.pace.confidence(now_ms),
                 "failed_part": target.failures.failure_rate(),
                 "is_paused": target.failures.is_in_backoff(now_ms),
             })
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -2,6 +2,8 @@
 
 use toucan_types::TargetName;
 
+use crate::placement::PaceReport;
+
 /// The load of one gateway.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
@@ -18,4 +20,8 @@
     pub in_flight: u32,
     /// Prompt tokens of those calls that the target still has to process.
     pub unread_tokens: u64,
+    /// Samples of the target's pace since the last report.
+    pub pace: PaceReport,
+    /// Lowest bits of the Unix time of the target's start that the samples are of, in milliseconds.
+    pub pace_start: u16,
 }
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -50,6 +50,29 @@
     }
 }
 
+impl ChoiceSettings {
+    /// Returns the expected time to the first event at a target that takes `slowness` times the usual time
+    /// and has to process `uncached_tokens` of the call's prompt.
+    #[must_use]
+    pub fn first_event_ms(
+        &self,
+        target: &TargetState,
+        uncached_tokens: u64,
+        slowness: f64,
+        now_ms: u64,
+    ) -> f64 {
+        let prefill_ms = uncached_tokens as f64 / self.prefill_tokens_per_ms * slowness;
+        self.min_first_event_ms + self.backlog_ms(target, slowness, now_ms) + prefill_ms
+    }
+
+    /// Returns the part of that time that is due to earlier calls.
+    fn backlog_ms(&self, target: &TargetState, slowness: f64, now_ms: u64) -> f64 {
+        let tokens_per_ms = self.prefill_tokens_per_ms / slowness;
+        f64::from(target.load(now_ms)) * self.step_ms_per_call * slowness
+            + target.total_unread_tokens(tokens_per_ms, now_ms) as f64 / tokens_per_ms
+    }
+}
+
 /// The chosen target, with what is expected of it.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice<'a> {
@@ -129,15 +152,12 @@
     settings: &ChoiceSettings,
     now_ms: u64,
 ) -> Choice<'a> {
+    let slowness = target.pace.slowness();
     let uncached_tokens = target.prompt_cache.uncached_tokens(request.parts, now_ms);
-    let prefill_ms = uncached_tokens as f64 / settings.prefill_tokens_per_ms;
-    let backlog_ms = f64::from(target.load(now_ms)) * settings.step_ms_per_call
-        + target.total_unread_tokens(settings.prefill_tokens_per_ms, now_ms) as f64
-            / settings.prefill_tokens_per_ms;
     Choice {
         target,
-        first_event_ms: settings.min_first_event_ms + backlog_ms + prefill_ms,
-        backlog_ms,
+        first_event_ms: settings.first_event_ms(target, uncached_tokens, slowness, now_ms),
+        backlog_ms: settings.backlog_ms(target, slowness, now_ms),
     }
 }
 
@@ -159,13 +179,19 @@
     let slots = f64::from(target.entry.slots.max(1));
     let excess_calls = (load + 1.0 - slots).max(0.0);
     let processing_ms = if request.engine.is_some() {
-        let prefill_backlog_ms = target.total_unread_tokens(settings.prefill_tokens_per_ms, now_ms)
-            as f64
-            / settings.prefill_tokens_per_ms;
-        load * settings.delay_ms_per_call
+        let slowness = target.pace.slowness();
+        let tokens_per_ms = settings.prefill_tokens_per_ms / slowness;
+        let prefill_backlog_ms =
+            target.total_unread_tokens(tokens_per_ms, now_ms) as f64 / tokens_per_ms;
+        // Every target has to process the last part. At equal targets it makes no difference.
+        let unshared = request.parts.last().map_or(0, |part| part.tokens) as f64;
+        let own_ms = settings.min_first_event_ms + unshared / settings.prefill_tokens_per_ms;
+        let miss_ms = cache_miss_ms(request, target, is_affinity_target, settings, now_ms);
+        load * settings.delay_ms_per_call * slowness
             + prefill_backlog_ms
-            + cache_miss_ms(request, target, is_affinity_target, settings, now_ms)
-            + excess_calls * 10.0 * settings.delay_ms_per_call
+            + miss_ms * slowness
+            + excess_calls * 10.0 * settings.delay_ms_per_call * slowness
+            + own_ms * (slowness - 1.0)
     } else {
         load * settings.delay_ms_per_slot / slots + excess_calls * settings.delay_ms_per_slot
     };
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -9,7 +9,7 @@
     limits::{CallRate, LimitRecord, Permits},
 };
 
-use super::{FailureHistory, PromptCacheEstimate};
+use super::{FailureHistory, PromptCacheEstimate, TargetPace};
 
 /// The state of a target as seen by this VM.
 #[derive(Clone, Debug)]
@@ -24,6 +24,8 @@
     pub failures: FailureHistory,
     /// Estimate of the prompt parts that the target has cached.
     pub prompt_cache: PromptCacheEstimate,
+    /// How fast the target is.
+    pub pace: TargetPace,
     /// Whether the target has stated that it is leaving.
     pub is_leaving: bool,
     /// Time until which the target wants no calls from this VM.
@@ -63,6 +65,7 @@
             unread_tokens: 0,
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
+            pace: TargetPace::default(),
             is_leaving: false,
             throttled_until_ms: 0,
             limit: LimitRecord::default(),
@@ -73,6 +76,13 @@
         }
     }
 
+    /// Returns the lowest bits of the time of the target's start. They tell samples of its pace from those of
+    /// an earlier start under the same name.
+    #[must_use]
+    pub fn pace_start(&self) -> u16 {
+        (self.entry.started_at_unix_ms & u64::from(u16::MAX)) as u16
+    }
+
     /// Returns whether the registration ended and its grace period is over.
     #[must_use]
     pub fn is_expired(&self, now_ms: u64) -> bool {
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -52,8 +52,9 @@
                         }
                         tracker.set_output_tokens(splitter.events() * tokens_per_event);
                         tracker.log.record_progress(&splitter);
-                        source.in_flight_call.record_progress(&call);
+                        source.in_flight_call.record_progress(&call, splitter.events());
                         yield complete_events;
+                        source.in_flight_call.record_passed_on();
                     }
                 if splitter.partial_event_bytes() > MAX_EVENT_BYTES {
                     log::warn!(target: "call", id = call.id.as_str(), name = source.in_flight_call.target().as_str(); "an event is larger than allowed, the connection is closed");
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -57,16 +57,24 @@
         tokio::time::sleep(Duration::from_millis(interval_ms)).await;
         let calls: Vec<TargetCalls> = gateway
             .state
-            .borrow()
+            .borrow_mut()
             .targets
-            .iter()
-            .filter(|target| target.in_flight > 0)
+            .iter_mut()
+            .filter(|target| target.in_flight > 0 || target.pace.has_untold())
             .map(|target| TargetCalls {
                 target: target.entry.name.clone(),
                 in_flight: target.in_flight,
                 unread_tokens: target.unread_tokens,
+                pace: target.pace.take_untold(),
+                pace_start: target.pace_start(),
             })
             .collect();
+        let compare_at_ms = gateway.now_ms();
+        gateway
+            .state
+            .borrow_mut()
+            .targets
+            .compare_paces(compare_at_ms);
         let vms: Vec<VmName> = gateway
             .state
             .borrow()
@@ -272,6 +280,10 @@
     for call in &report.calls {
         if let Some(target) = state.targets.get_mut(&call.target) {
             target.set_peer_load(peer_start_id, call.in_flight, call.unread_tokens, now_ms);
+            if call.pace_start == target.pace_start() {
+                target.pace.record_told(&call.pace, now_ms);
+            }
         }
     }
+    state.targets.compare_paces(now_ms);
 }
