Tell the gateway's own link from targets that cannot be connected to

A connect that took over 250 ms counted as a failure of its target, whatever the cause. A gateway with a saturated link avoided its targets in turn, tried up to four of them for each call, and callers got no_target while targets had room. The line of a failed connect was at debug level and named no cause.

LinkMonitor compares targets: if connects are slow at most targets of all data centres in use and none refuses, the link or processor of this VM is the cause. A data centre that is cut off is avoided as before, and a target that stays silent while others answer is blamed. Running out of sockets is no longer blamed on the target either. The line of a failed connect has cause and duration.

--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -64,6 +64,8 @@
     TargetFailed,
     /// the target did not answer in time and may have run the call
     TargetSilent,
+    /// this VM cannot connect to targets, because its own link is overloaded or it has no socket left
+    CannotConnect,
 }
 
 impl std::error::Error for Refusal {}
@@ -91,7 +93,8 @@
             | Self::PoisonCall { .. }
             | Self::OnTrial
             | Self::TooLate
-            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Stopping
+            | Self::CannotConnect => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -109,6 +112,8 @@
         let ms = match self {
             // The load balancer stops using this VM at once, so another VM gets the next attempt.
             Self::Stopping => 50,
+            // The response closes the connection, so another VM probably gets the next attempt.
+            Self::CannotConnect => 100,
             Self::TargetFull | Self::NoTarget => 250,
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
@@ -125,6 +130,13 @@
         Some(Duration::from_millis(ms))
     }
 
+    /// Returns whether the response closes the connection, so that the next attempt of the caller probably
+    /// reaches another VM.
+    #[must_use]
+    pub const fn closes_connection(self) -> bool {
+        matches!(self, Self::Stopping | Self::CannotConnect)
+    }
+
     /// Returns whether a retry before [`Self::retry_after`] has passed is certain to fail.
     #[must_use]
     pub const fn is_retry_after_exact(self) -> bool {
@@ -160,6 +172,7 @@
             Self::Stopping => "stopping",
             Self::TargetFailed => "target_failed",
             Self::TargetSilent => "target_silent",
+            Self::CannotConnect => "cannot_connect",
         }
     }
 }
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -1,6 +1,6 @@
 //! Client connections for HTTP/1.
 
-use std::{net::SocketAddrV4, time::Duration};
+use std::{io::ErrorKind, net::SocketAddrV4, time::Duration};
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -25,6 +25,10 @@
     TimedOut,
     /// this process cannot open a socket: {0}
     NoSocket(String),
+    /// the peer refused it
+    Refused,
+    /// the peer reset it
+    Reset,
     /// {0}
     Failed(String),
 }
@@ -35,17 +39,32 @@
     pub const fn is_of_peer(&self) -> bool {
         !matches!(self, Self::NoSocket(_))
     }
+
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::TimedOut => "timed_out",
+            Self::NoSocket(_) => "no_socket",
+            Self::Refused => "refused",
+            Self::Reset => "reset",
+            Self::Failed(_) => "failed",
+        }
+    }
 }
 
 impl std::error::Error for ConnectError {}
 
 impl From<std::io::Error> for ConnectError {
     fn from(error: std::io::Error) -> Self {
-        if error.kind() == std::io::ErrorKind::AddrNotAvailable {
+        match error.kind() {
             // All local ports are in use.
-            return Self::NoSocket(error.to_string());
+            ErrorKind::AddrNotAvailable => Self::NoSocket(error.to_string()),
+            ErrorKind::ConnectionRefused => Self::Refused,
+            ErrorKind::ConnectionReset => Self::Reset,
+            ErrorKind::TimedOut => Self::TimedOut,
+            _ => Self::Failed(error.to_string()),
         }
-        Self::Failed(error.to_string())
     }
 }
 
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod keyed_log;
 pub mod limits;
+pub mod overload;
 pub mod peers;
 pub mod placement;
 pub mod poison;
--- a/crates/toucan_gateway/src/placement/failure_history.rs
+++ b/crates/toucan_gateway/src/placement/failure_history.rs
@@ -20,6 +20,9 @@
     Lost,
     /// The target did not answer in time.
     Silent,
+    /// The connection failed because of this VM, for example because its link is overloaded. It says
+    /// nothing about the target.
+    LocalFault,
 }
 
 impl CallOutcome {
@@ -69,8 +72,11 @@
 impl FailureHistory {
     /// Records the outcome of a call; returns whether this starts or extends a backoff.
     pub fn record(&mut self, outcome: CallOutcome, now_ms: u64) -> bool {
+        if outcome == CallOutcome::LocalFault {
+            return false;
+        }
         let weight = match outcome {
-            CallOutcome::Answered => 0.0,
+            CallOutcome::Answered | CallOutcome::LocalFault => 0.0,
             // Services also answer valid calls with errors, so an error only raises the failure
             // rate, by which targets are compared.
             CallOutcome::Errored => 0.5,
@@ -87,7 +93,7 @@
                 self.backoff_until_ms = 0;
                 false
             }
-            CallOutcome::Shed => false,
+            CallOutcome::Shed | CallOutcome::LocalFault => false,
             CallOutcome::NotConnected
             | CallOutcome::Broken
             | CallOutcome::Lost
@@ -108,6 +114,14 @@
         }
     }
 
+    /// Takes back the last failed connection and ends the backoff.
+    pub fn excuse_failed_connect(&mut self) {
+        let before = (self.failure_rate - SMOOTHING_FACTOR) / (1.0 - SMOOTHING_FACTOR);
+        self.failure_rate = before.max(0.0);
+        self.consecutive_failures = self.consecutive_failures.saturating_sub(1);
+        self.backoff_until_ms = 0;
+    }
+
     /// Returns the weighted fraction of recent calls that failed, from 0 to 1.
     #[must_use]
     pub const fn failure_rate(&self) -> f64 {
--- a/crates/toucan_gateway/src/placement/reachability.rs
+++ b/crates/toucan_gateway/src/placement/reachability.rs
@@ -30,7 +30,10 @@
                 self.backoff_until_ms = 0;
                 false
             }
-            CallOutcome::Broken | CallOutcome::Lost | CallOutcome::Silent => false,
+            CallOutcome::Broken
+            | CallOutcome::Lost
+            | CallOutcome::Silent
+            | CallOutcome::LocalFault => false,
             CallOutcome::NotConnected => {
                 if self.unreachable.len() < TARGETS_BEFORE_BACKOFF
                     && !self.unreachable.contains(target)
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -115,6 +115,17 @@
         }
     }
 
+    /// Takes back the last failed connection to each of the targets, for which they were not the cause.
+    pub fn excuse_failed_connects(&mut self, names: &[TargetName]) {
+        for name in names {
+            let Some(target) = self.by_name.get_mut(name) else {
+                continue;
+            };
+            target.failures.excuse_failed_connect();
+            self.reachability.remove(&target.entry.data_centre);
+        }
+    }
+
     /// Records that a target, in the start that began at `started_at_unix_ms`, states that it is
     /// leaving. It gets no new calls, whatever its registration says.
     ///
--- a/crates/toucan_gateway/src/retries/next_step.rs
+++ b/crates/toucan_gateway/src/retries/next_step.rs
@@ -4,6 +4,8 @@
 
 /// Number of failures to send a call at which it is refused.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
+/// The same while this VM is the cause. Each failure then takes as long as a retransmitted SYN.
+const MAX_LOCAL_FAULTS: u32 = 2;
 /// Shortest remaining time in which another target is tried.
 const MIN_REMAINING_MS: u64 = 20;
 
@@ -66,6 +68,9 @@
     }
     let may_send_again = progress.sends < max_targets;
     match failure {
+        SendFailure::NotSent(CallOutcome::LocalFault) if progress.unsent >= MAX_LOCAL_FAULTS => {
+            NextStep::Refuse(refusal)
+        }
         SendFailure::NotSent(_) if progress.unsent < MAX_UNSENT_ATTEMPTS => NextStep::TryUnsent,
         SendFailure::NotRun if may_send_again => NextStep::SendAgainOr(refusal),
         SendFailure::MayHaveRun(_) if may_send_again && kind.may_run_again() => {
@@ -81,6 +86,7 @@
         SendFailure::MayHaveRun(CallOutcome::Silent) => Refusal::TargetSilent,
         _ if progress.may_have_run => Refusal::TargetFailed,
         SendFailure::NotRun => Refusal::TargetFull,
+        SendFailure::NotSent(CallOutcome::LocalFault) => Refusal::CannotConnect,
         _ => Refusal::NoTarget,
     }
 }
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -10,13 +10,13 @@
 use toucan_types::{FastHashMap, TargetName};
 
 use crate::{
+    clock::boot_time_ms,
     config::TargetEntry,
     http_connection::{ConnectError, connect_http},
+    overload::{ConnectResult, LinkMonitor},
+    placement::CallOutcome,
 };
 
-/// Timeout for establishing a connection. TCP retransmits a lost SYN only after a second, so a
-/// slightly longer timeout would rarely help.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum wait until an idle connection is ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// Idle timeout of connections to targets that announce none.
@@ -37,18 +37,63 @@
     /// the target's connections are all in use
     Exhausted,
     /// {0}
-    Connect(ConnectError),
+    Connect(ConnectFailure),
 }
 
-impl From<ConnectError> for CheckoutError {
-    fn from(error: ConnectError) -> Self {
-        Self::Connect(error)
+impl CheckoutError {
+    /// Returns the name used in logs.
+    pub(crate) const fn name(&self) -> &'static str {
+        match self {
+            Self::Exhausted => "exhausted",
+            Self::Connect(failure) => failure.error.name(),
+        }
+    }
+
+    /// Returns the time that the attempt to connect took.
+    pub(crate) const fn took_ms(&self) -> u64 {
+        match self {
+            Self::Exhausted => 0,
+            Self::Connect(failure) => failure.took_ms,
+        }
+    }
+
+    /// Returns the outcome that is recorded for the target.
+    pub(crate) const fn call_outcome(&self) -> CallOutcome {
+        match self {
+            Self::Exhausted => CallOutcome::Shed,
+            Self::Connect(failure) if failure.is_local => CallOutcome::LocalFault,
+            Self::Connect(_) => CallOutcome::NotConnected,
+        }
+    }
+}
+
+impl From<ConnectFailure> for CheckoutError {
+    fn from(failure: ConnectFailure) -> Self {
+        Self::Connect(failure)
     }
 }
 
+/// {error}
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+#[allow(
+    clippy::doc_markdown,
+    reason = "displaydoc takes the texts of errors from here"
+)]
+pub(crate) struct ConnectFailure {
+    /// Error of the connect.
+    pub(crate) error: ConnectError,
+    /// Time that it took.
+    pub(crate) took_ms: u64,
+    /// Whether this VM is the cause and not the target.
+    pub(crate) is_local: bool,
+}
+
+impl std::error::Error for ConnectFailure {}
+
 /// Connections by target.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
+    link: RefCell<LinkMonitor>,
     by_target: RefCell<FastHashMap<TargetName, TargetConnections>>,
 }
 
@@ -107,6 +152,7 @@
         self: &Rc<Self>,
         target: &TargetEntry,
         max_open: u32,
+        left_ms: u64,
         now_ms: u64,
     ) -> Result<TargetConnection, CheckoutError> {
         while let Some(mut connection) = self.take_idle(target, now_ms) {
@@ -117,20 +163,20 @@
         if self.open(&target.name) >= max_open {
             return Err(CheckoutError::Exhausted);
         }
-        Ok(self.connect(target).await?)
+        Ok(self.connect(target, left_ms).await?)
     }
 
     /// Opens a connection to the target and keeps it for a later call.
     ///
     /// # Errors
     ///
-    /// [`ConnectError`] if the target does not accept it.
+    /// [`ConnectFailure`] if the target does not accept it.
     pub(crate) async fn connect_idle(
         self: &Rc<Self>,
         target: &TargetEntry,
         now_ms: u64,
-    ) -> Result<(), ConnectError> {
-        let mut connection = self.connect(target).await?;
+    ) -> Result<(), ConnectFailure> {
+        let mut connection = self.connect(target, u64::MAX).await?;
         // The driver of a new connection reports it as ready once it has run.
         let _ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
         self.check_in(&target.name, connection, None, now_ms);
@@ -188,6 +234,72 @@
         self.by_target.borrow().values().map(|t| t.open).sum()
     }
 
+    /// Returns whether this VM's own link is the cause of failed connects.
+    pub(crate) fn is_link_slow(&self) -> bool {
+        self.link.borrow().is_local_fault()
+    }
+
+    /// Records the head of a response that arrived `took_ms` after the call was sent.
+    pub(crate) fn record_response(&self, target: &TargetEntry, took_ms: u64) {
+        let was_slow = self.is_link_slow();
+        self.link.borrow_mut().record_response(
+            &target.name,
+            &target.data_centre,
+            took_ms,
+            boot_time_ms(),
+        );
+        self.log_link(was_slow);
+    }
+
+    /// Takes the targets whose failures were recorded before it was found that this VM is the cause.
+    pub(crate) fn take_excused(&self) -> Vec<TargetName> {
+        self.link.borrow_mut().take_excused()
+    }
+
+    fn record_connect<T>(
+        &self,
+        target: &TargetEntry,
+        connected: Result<T, ConnectError>,
+        began_ms: u64,
+    ) -> Result<T, ConnectFailure> {
+        let now_ms = boot_time_ms();
+        let took_ms = now_ms.saturating_sub(began_ms);
+        let result = match &connected {
+            Ok(_) => Some(ConnectResult::Connected),
+            Err(ConnectError::TimedOut) => Some(ConnectResult::TimedOut),
+            Err(ConnectError::NoSocket(_)) => None,
+            Err(_) => Some(ConnectResult::Refused),
+        };
+        let was_slow = self.is_link_slow();
+        let is_local = result.is_none_or(|result| {
+            let link = &mut *self.link.borrow_mut();
+            link.record_connect(&target.name, &target.data_centre, result, took_ms, now_ms)
+        });
+        self.log_link(was_slow);
+        connected.map_err(|error| {
+            let blame = if is_local { "gateway" } else { "target" };
+            metrics::counter!("toucan_failed_connects_total", "cause" => error.name(), "blame" => blame)
+                .increment(1);
+            ConnectFailure {
+                error,
+                took_ms,
+                is_local,
+            }
+        })
+    }
+
+    fn log_link(&self, was_slow: bool) {
+        match (was_slow, self.is_link_slow()) {
+            (false, true) => {
+                log::warn!(target: "pool", "connects are slow at most targets of all data centres, which is taken as a fault of this VM's link");
+            }
+            (true, false) => {
+                log::info!(target: "pool", "connects are no longer slow at most targets");
+            }
+            _ => {}
+        }
+    }
+
     fn open(&self, target: &TargetName) -> u32 {
         self.by_target.borrow().get(target).map_or(0, |t| t.open)
     }
@@ -214,7 +326,8 @@
     async fn connect(
         self: &Rc<Self>,
         target: &TargetEntry,
-    ) -> Result<TargetConnection, ConnectError> {
+        left_ms: u64,
+    ) -> Result<TargetConnection, ConnectFailure> {
         // Count the connection before it is established, so that concurrent calls keep the limit.
         self.by_target
             .borrow_mut()
@@ -225,7 +338,14 @@
             pool: Rc::clone(self),
             target: target.name.clone(),
         };
-        let sender = connect_http(target.address, CONNECT_TIMEOUT).await?;
+        let began_ms = boot_time_ms();
+        let timeout_ms = {
+            let link = &mut *self.link.borrow_mut();
+            link.connect_timeout_ms(left_ms, began_ms)
+        };
+        let timeout = Duration::from_millis(timeout_ms);
+        let connected = connect_http(target.address, timeout).await;
+        let sender = self.record_connect(target, connected, began_ms)?;
         metrics::counter!("toucan_target_connections_total").increment(1);
         Ok(TargetConnection {
             sender,
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -24,9 +24,7 @@
     wire_format::{ResponseHead, WireFormat},
 };
 
-use super::{
-    ConnectionPool, TargetConnection, body_framing::BodyFraming, connection_pool::CheckoutError,
-};
+use super::{ConnectionPool, TargetConnection, body_framing::BodyFraming};
 
 /// Maximum number of heads that announce another one, such as early hints, before the head of a response.
 const MAX_INFORMATIONAL_HEADS: u32 = 16;
@@ -43,6 +41,8 @@
     pub(crate) max_connections: u32,
     /// Maximum wait for the response headers.
     pub(crate) head_timeout: Duration,
+    /// Time left for the call, which a connect does not exceed.
+    pub(crate) left_ms: u64,
     /// Current time.
     pub(crate) now_ms: u64,
     /// Receives what the target states about itself, also if its response is of no use.
@@ -91,19 +91,35 @@
     pool: &Rc<ConnectionPool>,
     exchange: Exchange<'_>,
 ) -> Result<OpenResponse, SendFailure> {
-    let checkout = pool.checkout(exchange.target, exchange.max_connections, exchange.now_ms);
+    let began_at = Instant::now();
+    let checkout = pool.checkout(
+        exchange.target,
+        exchange.max_connections,
+        exchange.left_ms,
+        exchange.now_ms,
+    );
     let mut connection = checkout.await.map_err(|error| {
-        log::debug!(target: "pool", name = exchange.target.name.as_str(), error:% = error; "no connection to the target");
-        SendFailure::NotSent(match error {
-            CheckoutError::Exhausted => CallOutcome::Shed,
-            CheckoutError::Connect(_) => CallOutcome::NotConnected,
-        })
+        log::info!(
+            target: "pool",
+            id = exchange.id.as_str(),
+            name = exchange.target.name.as_str(),
+            cause = error.name(),
+            took_ms = error.took_ms(),
+            end:? = error.call_outcome(),
+            error:% = error;
+            "no connection to the target"
+        );
+        SendFailure::NotSent(error.call_outcome())
     })?;
+    let sent_at = Instant::now();
+    let connect_time = sent_at - began_at;
+    let left = Duration::from_millis(exchange.left_ms).saturating_sub(connect_time);
+    let head_timeout = exchange.head_timeout.min(left);
     let mut request = exchange.request;
     let too_many_heads = limit_informational_heads(&mut request);
     let sent = connection.sender.try_send_request(request);
     let result = tokio::select! {
-        result = timeout(exchange.head_timeout, sent) => result,
+        result = timeout(head_timeout, sent) => result,
         () = too_many_heads.notified() => {
             log::warn!(target: "call", id = exchange.id.as_str(), name = exchange.target.name.as_str(); "the target sends informational heads without end, the connection is closed");
             return Err(SendFailure::MayHaveRun(CallOutcome::Broken));
@@ -117,6 +133,7 @@
         Some(_unsent) => SendFailure::NotSent(CallOutcome::Broken),
         None => SendFailure::MayHaveRun(CallOutcome::of_connection_error(error.error())),
     })?;
+    pool.record_response(exchange.target, sent_at.elapsed().as_millis() as u64);
     let (parts, body) = response.into_parts();
     let head = format.read_response(parts.status, &parts.headers);
     let is_of_other_call = head.id.as_ref().is_some_and(|id| id != exchange.id);
--- a/crates/toucan_gateway/src/serving/response.rs
+++ b/crates/toucan_gateway/src/serving/response.rs
@@ -85,7 +85,7 @@
         header::CONTENT_TYPE,
         HeaderValue::from_static("application/json"),
     );
-    if refusal == Refusal::Stopping {
+    if refusal.closes_connection() {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     if let Some(wait) = refusal.retry_after() {
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -183,6 +183,7 @@
         request: call.request_to(&gateway.platform, target, last_event_id, now_ms),
         max_connections: chosen.max_connections,
         head_timeout: head_timeout(call, now_ms),
+        left_ms: call.left_ms(now_ms),
         now_ms,
         notice: &mut notice,
     };
@@ -226,6 +227,7 @@
         }
         Err(failure) => {
             in_flight_call.record_outcome(failure.call_outcome());
+            excuse_failed_connects(gateway);
             if failure == SendFailure::MayHaveRun(CallOutcome::Broken) {
                 in_flight_call.record_broken(call);
                 tracker.record_broken();
@@ -240,6 +242,13 @@
     }
 }
 
+/// Takes back what was recorded of targets before it was found that this VM is the cause.
+fn excuse_failed_connects<P: Platform>(gateway: &Gateway<P>) {
+    let excused = gateway.pool.take_excused();
+    let targets = &mut gateway.state.borrow_mut().targets;
+    targets.excuse_failed_connects(&excused);
+}
+
 /// Applies what a target states about itself in its response to a call.
 fn apply_notice<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/toucan_gateway/src/tasks/target_check.rs
+++ b/crates/toucan_gateway/src/tasks/target_check.rs
@@ -52,7 +52,7 @@
         return;
     };
     match connected {
-        Err(error) if error.is_of_peer() => {
+        Err(error) if error.error.is_of_peer() && !error.is_local => {
             log_end(&gateway, &end, &error);
             gateway.report_target_end(&end);
         }
--- a/crates/toucan_gateway/tests/retries.rs
+++ b/crates/toucan_gateway/tests/retries.rs
@@ -49,6 +49,22 @@
     assert_eq!(step, NextStep::TryUnsent);
 }
 
+/// Fails if a call tries target after target while the link of this VM is the cause.
+#[test]
+fn call_that_this_vm_cannot_send_is_refused_after_two_attempts() {
+    let step = |unsent| {
+        let progress = CallProgress {
+            sends: 0,
+            unsent,
+            may_have_run: false,
+        };
+        let failure = SendFailure::NotSent(CallOutcome::LocalFault);
+        next_step(failure, progress, NON_IDEMPOTENT, 1, 1_000)
+    };
+    assert_eq!(step(1), NextStep::TryUnsent);
+    assert_eq!(step(2), NextStep::Refuse(Refusal::CannotConnect));
+}
+
 #[test]
 fn refusal_does_not_claim_not_run_if_an_earlier_target_may_have_run_the_call() {
     let progress = CallProgress {
