Refuse by urgency and time left while engines are behind

Less urgent calls, which the engine processes later, counted against urgent ones. A call whose caller would have left by then was sent. Callers who were refused during one backlog returned when it ended, together, and were refused again.

Only the tokens of calls that are at least as urgent count now; load messages carry them by urgency. The time left bounds the backlog as the objective does.

--- a/crates/toucan_gateway/src/overload/mod.rs
+++ b/crates/toucan_gateway/src/overload/mod.rs
@@ -2,6 +2,12 @@
 
 mod connect_result;
 mod link_monitor;
+mod return_schedule;
+mod shedding;
+mod urgency_tokens;
 
 pub use connect_result::ConnectResult;
 pub use link_monitor::LinkMonitor;
+pub use return_schedule::ReturnSchedule;
+pub use shedding::overload_retry_after_ms;
+pub use urgency_tokens::UrgencyTokens;
--- a/crates/toucan_gateway/src/placement/overload.rs
+++ b/crates/toucan_gateway/src/overload/shedding.rs
@@ -8,16 +8,25 @@
 
 /// Returns the time after which a call may be retried; [`None`] if it can be sent now.
 ///
+/// `backlog_ms` is the work of the calls that the engine serves before this one: earlier calls that are at
+/// least as urgent. The call needs its first event within its latency objective and within `left_ms`, the
+/// time that its caller has left.
+///
 /// Guards against a burst of prompts on few engines. Without a limit, each call waits for all
 /// earlier ones, all answers are late, and callers disconnect while their prompts are still being
 /// processed. The call's own prompt is not counted, so that long prompts are not refused sooner
 /// than short ones.
 #[must_use]
-pub fn overload_retry_after_ms(backlog_ms: f64, latency_objective_ms: u64) -> Option<u64> {
-    let max_ms = latency_objective_ms as f64 * MAX_BACKLOG_FRACTION;
+pub fn overload_retry_after_ms(
+    backlog_ms: f64,
+    latency_objective_ms: u64,
+    left_ms: u64,
+) -> Option<u64> {
+    let max_ms = latency_objective_ms.min(left_ms) as f64 * MAX_BACKLOG_FRACTION;
     if backlog_ms <= max_ms {
         return None;
     }
-    let excess_ms = backlog_ms - max_ms;
-    Some((excess_ms as u64).max(MIN_RETRY_AFTER_MS))
+    // While the overload lasts, the backlog stays at its maximum. A caller who returns earlier than it
+    // takes to process it is likely to be refused again.
+    Some((backlog_ms as u64).max(MIN_RETRY_AFTER_MS))
 }
--- /dev/null
+++ b/crates/toucan_gateway/src/overload/urgency_tokens.rs
@@ -0,0 +1,34 @@
+//! Tokens by the urgency of their calls.
+
+/// Number of urgencies; 0 is the most urgent.
+const URGENCIES: usize = 10;
+
+/// Prompt tokens that an engine still has to process, by the urgency of their calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct UrgencyTokens([u64; URGENCIES]);
+
+impl UrgencyTokens {
+    /// Adds the tokens of a call.
+    pub fn add(&mut self, urgency: u8, tokens: u64) {
+        let sum = self.of_urgency(urgency);
+        *sum = sum.saturating_add(tokens);
+    }
+
+    /// Removes the tokens of a call.
+    pub fn remove(&mut self, urgency: u8, tokens: u64) {
+        let sum = self.of_urgency(urgency);
+        *sum = sum.saturating_sub(tokens);
+    }
+
+    /// Returns the tokens of calls that are less urgent.
+    #[must_use]
+    pub fn less_urgent_than(&self, urgency: u8) -> u64 {
+        let first = usize::from(urgency).saturating_add(1);
+        let tokens = self.0.iter().skip(first);
+        tokens.fold(0, |sum, tokens| sum.saturating_add(*tokens))
+    }
+
+    fn of_urgency(&mut self, urgency: u8) -> &mut u64 {
+        &mut self.0[usize::from(urgency).min(URGENCIES - 1)]
+    }
+}
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -2,6 +2,8 @@
 
 use toucan_types::TargetName;
 
+use crate::overload::UrgencyTokens;
+
 /// The load of one gateway.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
@@ -18,4 +20,6 @@
     pub in_flight: u32,
     /// Prompt tokens of those calls that the target still has to process.
     pub unread_tokens: u64,
+    /// The same by the urgency of the calls.
+    pub unread_by_urgency: UrgencyTokens,
 }
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -3,7 +3,6 @@
 mod choice;
 mod deregistration_grace;
 mod failure_history;
-mod overload;
 mod prompt_cache_estimate;
 mod reachability;
 mod target_state;
@@ -12,7 +11,6 @@
 pub use choice::{Choice, ChoiceRequest, ChoiceSettings, choose_target};
 pub use deregistration_grace::DeregistrationGrace;
 pub use failure_history::{CallOutcome, FailureHistory};
-pub use overload::overload_retry_after_ms;
 pub use prompt_cache_estimate::PromptCacheEstimate;
 pub use reachability::Reachability;
 pub use target_state::TargetState;
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -7,6 +7,7 @@
 use crate::{
     config::TargetEntry,
     limits::{CallRate, LimitRecord, Permits},
+    overload::UrgencyTokens,
 };
 
 use super::{FailureHistory, PromptCacheEstimate};
@@ -20,6 +21,8 @@
     pub in_flight: u32,
     /// Prompt tokens of those calls that are neither processed yet nor expected to be cached.
     pub unread_tokens: u64,
+    /// The same by the urgency of the calls.
+    pub unread_by_urgency: UrgencyTokens,
     /// Recent failures.
     pub failures: FailureHistory,
     /// Estimate of the prompt parts that the target has cached.
@@ -45,6 +48,7 @@
 struct PeerLoad {
     in_flight: u32,
     unread_tokens: u64,
+    unread_by_urgency: UrgencyTokens,
     updated_at_ms: u64,
 }
 
@@ -61,6 +65,7 @@
             entry,
             in_flight: 0,
             unread_tokens: 0,
+            unread_by_urgency: UrgencyTokens::default(),
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
             is_leaving: false,
@@ -130,6 +135,7 @@
         let load = PeerLoad {
             in_flight,
             unread_tokens,
+            unread_by_urgency: UrgencyTokens::default(),
             updated_at_ms: now_ms,
         };
         if self.peer_loads.len() >= MAX_PEERS {
@@ -142,6 +148,13 @@
         self.peer_loads.insert(peer, load);
     }
 
+    /// Sets the unprocessed prompt tokens of another VM by urgency, after its load.
+    pub fn set_peer_urgency(&mut self, peer: u64, unread_by_urgency: UrgencyTokens) {
+        if let Some(load) = self.peer_loads.get_mut(&peer) {
+            load.unread_by_urgency = unread_by_urgency;
+        }
+    }
+
     /// Removes another VM's load, before its next report is applied.
     pub fn clear_peer_load(&mut self, peer: u64) {
         self.peer_loads.remove(&peer);
@@ -172,6 +185,22 @@
         self.unread_tokens + peer_total
     }
 
+    /// Returns the part of [`Self::total_unread_tokens`] that belongs to less urgent calls. The target
+    /// processes it after that of more urgent ones.
+    #[must_use]
+    pub fn less_urgent_tokens(&self, urgency: u8, prefill_tokens_per_ms: f64, now_ms: u64) -> u64 {
+        let peer_total: u64 = self
+            .recent_peer_loads(now_ms)
+            .map(|load| {
+                let age_ms = now_ms.saturating_sub(load.updated_at_ms) as f64;
+                let processed_tokens = (age_ms * prefill_tokens_per_ms) as u64;
+                let left = load.unread_tokens.saturating_sub(processed_tokens);
+                load.unread_by_urgency.less_urgent_than(urgency).min(left)
+            })
+            .sum();
+        self.unread_by_urgency.less_urgent_than(urgency) + peer_total
+    }
+
     fn recent_peer_loads(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
         self.peer_loads
             .values()
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -113,7 +113,7 @@
     }
 
     /// Returns the priority at the target: the organisation's priority, then the route's.
-    fn priority(&self) -> u8 {
+    pub(crate) fn priority(&self) -> u8 {
         const ROUTE_PRIORITIES: u8 = 3;
         const LOWEST_PRIORITY: u8 = 9;
         let organisation = self.organisation.as_ref().map_or(0, |o| o.priority);
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -5,9 +5,8 @@
 use crate::{
     Gateway, Platform, Refusal,
     config::TargetEntry,
-    placement::{
-        ChoiceRequest, ChoiceSettings, Pause, TargetTable, choose_target, overload_retry_after_ms,
-    },
+    overload::overload_retry_after_ms,
+    placement::{Choice, ChoiceRequest, ChoiceSettings, Pause, TargetTable, choose_target},
     retries::{CallProgress, connection_share},
 };
 
@@ -40,12 +39,54 @@
         entry: Rc::clone(&chosen.target.entry),
         max_connections,
         expected_ms: chosen.first_event_ms as u64,
-        return_ms: request.engine.and_then(|_engine| {
-            overload_retry_after_ms(chosen.backlog_ms, call.route.latency_objective_ms)
+        own_work_ms: chosen.first_event_ms - chosen.backlog_ms,
+        overload_ms: request.engine.and_then(|_engine| {
+            overload_retry_after_ms(
+                backlog_before_ms(&chosen, call, &settings, now_ms),
+                call.route.latency_objective_ms,
+                call.left_ms(now_ms),
+            )
         }),
     })
 }
 
+/// Returns the part of the backlog that an engine processes before the call.
+///
+/// It processes the most urgent calls first.
+fn backlog_before_ms(
+    chosen: &Choice<'_>,
+    call: &Call,
+    settings: &ChoiceSettings,
+    now_ms: u64,
+) -> f64 {
+    let prefill_tokens_per_ms = settings.prefill_tokens_per_ms;
+    let later_tokens =
+        chosen
+            .target
+            .less_urgent_tokens(call.priority(), prefill_tokens_per_ms, now_ms);
+    chosen.backlog_ms - later_tokens as f64 / prefill_tokens_per_ms
+}
+
+/// Returns when the caller of a call that is refused because the engines are behind may return.
+pub(crate) fn schedule_return<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    chosen: &ChosenTarget,
+    overload_ms: u64,
+    now_ms: u64,
+) -> u64 {
+    let state = &mut *gateway.state.borrow_mut();
+    let gateways = f64::from(state.members.process_count(now_ms));
+    let in_service = state.targets.of_service(&call.service);
+    let targets = in_service.filter(|target| target.is_in_service(now_ms));
+    let work_ms = chosen.own_work_ms * gateways / targets.count().max(1) as f64;
+    state
+        .return_schedules
+        .entry(call.service.clone())
+        .or_default()
+        .assign(overload_ms, work_ms, call.left_ms(now_ms), now_ms)
+}
+
 /// A target chosen for a call.
 pub(crate) struct ChosenTarget {
     /// Registration of the target.
@@ -54,8 +95,10 @@
     pub(crate) max_connections: u32,
     /// Expected time to the first event.
     pub(crate) expected_ms: u64,
-    /// Time after which the caller may retry, if the target's backlog is too long.
-    pub(crate) return_ms: Option<u64>,
+    /// Part of that time that the call itself takes.
+    pub(crate) own_work_ms: f64,
+    /// Time in which the target processes its backlog, if that is too long.
+    pub(crate) overload_ms: Option<u64>,
 }
 
 /// Returns the maximum number of connections from one of `processes` gateways to one target of the
--- a/crates/toucan_gateway/src/serving/in_flight_call.rs
+++ b/crates/toucan_gateway/src/serving/in_flight_call.rs
@@ -26,6 +26,7 @@
     /// When progress of the answer next shows that the call does not end its target.
     sound_report_ms: u64,
     unread_tokens: u64,
+    urgency: u8,
 }
 
 impl<P: Platform> InFlightCall<P> {
@@ -38,6 +39,9 @@
             unread_tokens = target_state.prompt_cache.uncached_tokens(parts, now_ms);
             target_state.in_flight += 1;
             target_state.unread_tokens += unread_tokens;
+            target_state
+                .unread_by_urgency
+                .add(call.priority(), unread_tokens);
             target_state.prompt_cache.record_sent(parts, now_ms);
         }
         Self {
@@ -47,6 +51,7 @@
             first_event_ms: None,
             sound_report_ms: u64::MAX,
             unread_tokens,
+            urgency: call.priority(),
         }
     }
 
@@ -92,6 +97,9 @@
             .get_mut(&self.target.name)
         {
             target_state.unread_tokens = target_state.unread_tokens.saturating_sub(unread_tokens);
+            target_state
+                .unread_by_urgency
+                .remove(self.urgency, unread_tokens);
         }
     }
 
--- a/crates/toucan_gateway/src/serving/response.rs
+++ b/crates/toucan_gateway/src/serving/response.rs
@@ -18,6 +18,8 @@
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.8..1.4;
 /// The same if an earlier retry is certain to fail.
 const EXACT_RETRY_AFTER_JITTER: std::ops::Range<f64> = 1.0..1.4;
+/// The same if the time is already spread over the callers of this VM.
+const SPREAD_RETRY_AFTER_JITTER: std::ops::Range<f64> = 1.0..1.1;
 
 /// the answer ended before it was complete
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -90,7 +92,9 @@
     }
     if let Some(wait) = refusal.retry_after() {
         // Jitter keeps callers that are refused together from retrying at the same time.
-        let jitter = if refusal.is_retry_after_exact() {
+        let jitter = if matches!(refusal, Refusal::Overloaded { .. }) {
+            SPREAD_RETRY_AFTER_JITTER
+        } else if refusal.is_retry_after_exact() {
             EXACT_RETRY_AFTER_JITTER
         } else {
             RETRY_AFTER_JITTER
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -20,7 +20,7 @@
 
 use super::{
     call::{Call, CallTracker},
-    choose::{ChosenTarget, choose_for_call, refusal_without_target},
+    choose::{ChosenTarget, choose_for_call, refusal_without_target, schedule_return},
     collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     in_flight_call::InFlightCall,
@@ -86,9 +86,10 @@
             return Err((refusal_without_target(gateway, call), "no target is left"));
         };
         tracker.log.expected_ms = chosen.expected_ms;
-        if let Some(return_ms) = chosen.return_ms
+        if let Some(overload_ms) = chosen.overload_ms
             && call.progress.sends == 0
         {
+            let return_ms = schedule_return(gateway, call, &chosen, overload_ms, now_ms);
             return Err((Refusal::Overloaded { return_ms }, "the engines are behind"));
         }
         let target = &chosen.entry;
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -9,6 +9,7 @@
     budget::{RestoreGate, Wallet},
     config::FleetConfig,
     limits::{CallRate, PermitGrant, PermitGranter},
+    overload::ReturnSchedule,
     peers::{GatewayLocation, Members},
     placement::TargetTable,
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
@@ -64,6 +65,8 @@
     pub(crate) shortages: FastHashMap<OrganisationName, RecentShortage>,
     /// The other gateways.
     pub(crate) members: Members,
+    /// When refused callers of each service return.
+    pub(crate) return_schedules: FastHashMap<ServiceName, ReturnSchedule>,
     /// Retry budget of each service.
     pub(crate) retry_budgets: FastHashMap<ServiceName, RetryBudget>,
     /// When the shutdown began; [`None`] if the process is not shutting down.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -65,6 +65,7 @@
                 target: target.entry.name.clone(),
                 in_flight: target.in_flight,
                 unread_tokens: target.unread_tokens,
+                unread_by_urgency: target.unread_by_urgency,
             })
             .collect();
         let vms: Vec<VmName> = gateway
@@ -272,6 +273,7 @@
     for call in &report.calls {
         if let Some(target) = state.targets.get_mut(&call.target) {
             target.set_peer_load(peer_start_id, call.in_flight, call.unread_tokens, now_ms);
+            target.set_peer_urgency(peer_start_id, call.unread_by_urgency);
         }
     }
 }
