--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -68,6 +68,8 @@
     DataCentresEvacuated,
     /// all targets that could take the call are outside the regions that it may reach
     NoTargetInRegions,
+    /// this VM cannot connect to targets, because its own link is overloaded or it has no socket left
+    CannotConnect,
 }
 
 impl std::error::Error for Refusal {}
@@ -97,7 +99,8 @@
             | Self::TooLate
             | Self::Stopping
             | Self::DataCentresEvacuated
-            | Self::NoTargetInRegions => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NoTargetInRegions
+            | Self::CannotConnect => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -115,6 +118,8 @@
         let ms = match self {
             // The load balancer stops using this VM at once, so another VM gets the next attempt.
             Self::Stopping => 50,
+            // The response closes the connection, so another VM probably gets the next attempt.
+            Self::CannotConnect => 100,
             Self::TargetFull | Self::NoTarget => 250,
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
@@ -134,6 +139,13 @@
         Some(Duration::from_millis(ms))
     }
 
+    /// Returns whether the response closes the connection, so that the next attempt of the caller probably
+    /// reaches another VM.
+    #[must_use]
+    pub const fn closes_connection(self) -> bool {
+        matches!(self, Self::Stopping | Self::CannotConnect)
+    }
+
     /// Returns whether a retry before [`Self::retry_after`] has passed is certain to fail.
     #[must_use]
     pub const fn is_retry_after_exact(self) -> bool {
@@ -171,6 +183,7 @@
             Self::TargetSilent => "target_silent",
             Self::DataCentresEvacuated => "data_centres_evacuated",
             Self::NoTargetInRegions => "no_target_in_regions",
+            Self::CannotConnect => "cannot_connect",
         }
     }
 }
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -2,6 +2,7 @@
 
 use toucan_types::TargetName;
 
+use crate::overload::UrgencyTokens;
 use crate::placement::PaceReport;
 
 /// The load of one gateway.
@@ -24,4 +25,6 @@
     pub pace: PaceReport,
     /// Lowest bits of the Unix time of the target's start that the samples are of, in milliseconds.
     pub pace_start: u16,
+    /// The same by the urgency of the calls.
+    pub unread_by_urgency: UrgencyTokens,
 }
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -3,7 +3,6 @@
 mod choice;
 mod deregistration_grace;
 mod failure_history;
-mod overload;
 mod pace;
 mod pace_samples;
 mod prompt_cache_estimate;
@@ -16,7 +15,6 @@
 pub use choice::{Choice, ChoiceRequest, ChoiceSettings, choose_target};
 pub use deregistration_grace::DeregistrationGrace;
 pub use failure_history::{CallOutcome, FailureHistory};
-pub use overload::overload_retry_after_ms;
 pub use pace::Pace;
 pub use pace_samples::PaceSamples;
 pub use prompt_cache_estimate::PromptCacheEstimate;
--- a/crates/toucan_gateway/src/serving/in_flight_call.rs
+++ b/crates/toucan_gateway/src/serving/in_flight_call.rs
@@ -52,6 +52,7 @@
     expected_pause_ms: Option<f64>,
     window: Option<EventWindow>,
     last_arrival_ms: u64,
+    urgency: u8,
 }
 
 impl<P: Platform> InFlightCall<P> {
@@ -73,6 +74,9 @@
             }
             target_state.in_flight += 1;
             target_state.unread_tokens += unread_tokens;
+            target_state
+                .unread_by_urgency
+                .add(call.priority(), unread_tokens);
             target_state.prompt_cache.record_sent(parts, now_ms);
         }
         Self {
@@ -88,6 +92,7 @@
                 .map(|engine| f64::from(engine.tokens_per_event.max(1)) * EXPECTED_STEP_MS),
             window: None,
             last_arrival_ms: now_ms,
+            urgency: call.priority(),
         }
     }
 
@@ -189,6 +194,9 @@
             .get_mut(&self.target.name)
         {
             target_state.unread_tokens = target_state.unread_tokens.saturating_sub(unread_tokens);
+            target_state
+                .unread_by_urgency
+                .remove(self.urgency, unread_tokens);
         }
     }
 
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -20,7 +20,9 @@
 
 use super::{
     call::{Call, CallTracker},
-    choose::{ChosenTarget, choose_for_call, is_still_eligible, refusal_without_target},
+    choose::{
+        ChosenTarget, choose_for_call, is_still_eligible, refusal_without_target, schedule_return,
+    },
     collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     in_flight_call::InFlightCall,
@@ -86,9 +88,10 @@
             return Err((refusal_without_target(gateway, call), "no target is left"));
         };
         tracker.log.expected_ms = chosen.expected_ms;
-        if let Some(return_ms) = chosen.return_ms
+        if let Some(overload_ms) = chosen.overload_ms
             && call.progress.sends == 0
         {
+            let return_ms = schedule_return(gateway, call, &chosen, overload_ms, now_ms);
             return Err((Refusal::Overloaded { return_ms }, "the engines are behind"));
         }
         let target = &chosen.entry;
@@ -187,6 +190,7 @@
         request: call.request_to(&gateway.platform, target, last_event_id, now_ms),
         max_connections: chosen.max_connections,
         head_timeout: head_timeout(call, now_ms),
+        left_ms: call.left_ms(now_ms),
         now_ms,
         notice: &mut notice,
     };
@@ -230,6 +234,7 @@
         }
         Err(failure) => {
             in_flight_call.record_outcome(failure.call_outcome());
+            excuse_failed_connects(gateway);
             if failure == SendFailure::MayHaveRun(CallOutcome::Broken) {
                 in_flight_call.record_broken(call);
                 tracker.record_broken();
@@ -244,6 +249,13 @@
     }
 }
 
+/// Takes back what was recorded of targets before it was found that this VM is the cause.
+fn excuse_failed_connects<P: Platform>(gateway: &Gateway<P>) {
+    let excused = gateway.pool.take_excused();
+    let targets = &mut gateway.state.borrow_mut().targets;
+    targets.excuse_failed_connects(&excused);
+}
+
 /// Applies what a target states about itself in its response to a call.
 fn apply_notice<P: Platform>(
     gateway: &Gateway<P>,
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -67,6 +67,7 @@
                 unread_tokens: target.unread_tokens,
                 pace: target.pace.take_untold(),
                 pace_start: target.pace_start(),
+                unread_by_urgency: target.unread_by_urgency,
             })
             .collect();
         let compare_at_ms = gateway.now_ms();
@@ -294,6 +295,7 @@
             if call.pace_start == target.pace_start() {
                 target.pace.record_told(&call.pace, now_ms);
             }
+            target.set_peer_urgency(peer_start_id, call.unread_by_urgency);
         }
     }
     state.targets.compare_paces(now_ms);
--- a/crates/toucan_gateway/tests/pool_model/mod.rs
+++ b/crates/toucan_gateway/tests/pool_model/mod.rs
@@ -6,8 +6,8 @@
 use toucan_gateway::{
     config::{EngineSettings, TargetEntry},
     placement::{
-        ChoiceRequest, ChoiceSettings, PaceKind, PaceSamples, TargetState, TargetTable,
-        choose_target,
+        ChoiceRequest, ChoiceSettings, PaceKind, PaceSamples, TargetScope, TargetState,
+        TargetTable, choose_target,
     },
     wire_format::{PartId, PromptPart},
 };
@@ -151,6 +151,7 @@
             parts: &parts,
             data_centre: &"here".into(),
             software_version: None,
+            scope: TargetScope::default(),
             tried: &[],
             denied: &[],
             max_in_flight: 100,
