Read answers ahead of slow callers, within a part of the VM's memory

Seen, with `Features::slow_readers` and the code before: a caller that stops reading for 4 s gets 6,308 bytes of an answer of 400 events of 1 KiB, also during a planned stop; a target that reads a body of 4 MiB 4 s late gives 502; a caller that leaves an answer of 1,000 events unread is billed 1,001 tokens; a body that comes a byte at a time keeps its call for ever.

Cause: TCP_USER_TIMEOUT of 1.5 s also ends connections whose peer acknowledges probes and leaves no room for bytes. The target was read only as hyper asked for more, and hyper took what the kernel took, up to 4 MiB for one caller. hyper does not poll a body while its caller does not read, so neither the deadline nor a failure of the body reached such a caller.

Change: `buffers/` counts what is held for callers and targets, within limits that follow from the memory of the VM. A task reads each stream ahead; events are billed when the caller takes them, and the call is settled then. Where memory is short, bodies wait 100 ms and are refused (503, not run, `buffers_full`), then the answer whose caller has read least for longest is ended as broken off. Sockets have fixed buffers and longer time-outs.

--- /dev/null
+++ b/crates/toucan_gateway/src/buffers/byte_limits.rs
@@ -0,0 +1,78 @@
+//! Limits of the bytes that are held.
+
+/// Part of the VM's memory that the process may use, in hundredths.
+const MEMORY_PERCENT: u64 = 60;
+/// Memory of the process apart from what is held for calls.
+const PROCESS_BYTES: u64 = 20 * 1024 * 1024;
+/// Smallest budget. The part of an organisation then holds the largest body of the default limits.
+const MIN_TOTAL_BYTES: u64 = 18 * 1024 * 1024;
+/// Memory of a VM whose settings state none; that of the smallest VM of the deployments served.
+const DEFAULT_MEMORY_BYTES: u64 = 88 * 1024 * 1024;
+/// Part of the budget for events that are read ahead, so that slow callers leave room for the bodies of
+/// other calls.
+const READ_AHEAD_DIVISOR: u64 = 2;
+/// Part of the budget for bodies of one organisation, and again for its whole answers.
+const ORGANISATION_DIVISOR: u64 = 4;
+/// Part of the budget for events of one organisation's answers that are read ahead.
+const ORGANISATION_READ_AHEAD_DIVISOR: u64 = 8;
+/// Part of the budget for events of one answer that are read ahead.
+const ANSWER_DIVISOR: u64 = 16;
+/// Largest size of all whole answers together.
+const MAX_WHOLE_ANSWER_BYTES: u64 = 16 * 1024 * 1024;
+/// Size up to which a whole answer is not counted where memory is not limited.
+const FREE_WHOLE_ANSWER_BYTES: u64 = 64 * 1024;
+
+/// Limits of the bytes that are held for callers and targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ByteLimits {
+    /// Maximum of all kinds together.
+    pub total_bytes: u64,
+    /// Maximum of the events that are read ahead, for all answers.
+    pub read_ahead_bytes: u64,
+    /// Maximum of the events that are read ahead, for one answer.
+    pub answer_bytes: u64,
+    /// Maximum of the events that are read ahead, for one organisation.
+    pub organisation_read_ahead_bytes: u64,
+    /// Maximum of each other kind that is held for one organisation.
+    pub organisation_bytes: u64,
+    /// Maximum of the answers that are read to their end before they are sent.
+    pub whole_answer_bytes: u64,
+    /// Size up to which each of these answers is not counted.
+    pub free_whole_answer_bytes: u64,
+}
+
+impl Default for ByteLimits {
+    /// Limits only the answers that are read to their end.
+    fn default() -> Self {
+        Self {
+            total_bytes: u64::MAX,
+            read_ahead_bytes: u64::MAX,
+            answer_bytes: u64::MAX,
+            organisation_read_ahead_bytes: u64::MAX,
+            organisation_bytes: u64::MAX,
+            whole_answer_bytes: MAX_WHOLE_ANSWER_BYTES,
+            free_whole_answer_bytes: FREE_WHOLE_ANSWER_BYTES,
+        }
+    }
+}
+
+impl ByteLimits {
+    /// Returns the limits for a VM with this memory, in bytes; [`None`] if it is not known.
+    #[must_use]
+    pub fn for_memory(memory_bytes: Option<u64>) -> Self {
+        let memory_bytes = memory_bytes.unwrap_or(DEFAULT_MEMORY_BYTES);
+        let usable_bytes = memory_bytes.saturating_mul(MEMORY_PERCENT) / 100;
+        let total_bytes = usable_bytes
+            .saturating_sub(PROCESS_BYTES)
+            .max(MIN_TOTAL_BYTES);
+        Self {
+            total_bytes,
+            read_ahead_bytes: total_bytes / READ_AHEAD_DIVISOR,
+            answer_bytes: total_bytes / ANSWER_DIVISOR,
+            organisation_read_ahead_bytes: total_bytes / ORGANISATION_READ_AHEAD_DIVISOR,
+            organisation_bytes: total_bytes / ORGANISATION_DIVISOR,
+            whole_answer_bytes: MAX_WHOLE_ANSWER_BYTES.min(total_bytes / 2),
+            free_whole_answer_bytes: 0,
+        }
+    }
+}
--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -64,6 +64,11 @@
     TargetFailed,
     /// the target did not answer in time and may have run the call
     TargetSilent,
+    /// the memory for calls is in use
+    BuffersFull {
+        /// Time until enough of it is expected to be free, in milliseconds.
+        return_ms: u64,
+    },
 }
 
 impl std::error::Error for Refusal {}
@@ -91,7 +96,8 @@
             | Self::PoisonCall { .. }
             | Self::OnTrial
             | Self::TooLate
-            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Stopping
+            | Self::BuffersFull { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -113,7 +119,8 @@
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
             | Self::TargetsLimited { return_ms }
-            | Self::PoisonCall { return_ms } => return_ms,
+            | Self::PoisonCall { return_ms }
+            | Self::BuffersFull { return_ms } => return_ms,
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable | Self::OnTrial => 1_000,
@@ -160,6 +167,7 @@
             Self::Stopping => "stopping",
             Self::TargetFailed => "target_failed",
             Self::TargetSilent => "target_silent",
+            Self::BuffersFull { .. } => "buffers_full",
         }
     }
 }
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -17,12 +17,14 @@
 use crate::{
     Platform,
     budget::GatewayProcess,
+    buffers::CallBuffers,
     clock::boot_time_ms,
     config::CallerLimits,
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
     poison::PoisonTable,
-    serving::{ConnectionPool, ResponseMemory, http_listener::ListenerState},
+    serving::{ConnectionPool, http_listener::ListenerState},
     settings::{Bounds, GatewaySettings},
+    socket_options::SlowPeerOptions,
     state::GatewayState,
     streams::{OriginLookups, StreamOrigin},
 };
@@ -37,8 +39,8 @@
     pub(crate) location: GatewayLocation,
     pub(crate) state: RefCell<GatewayState>,
     pub(crate) pool: Rc<ConnectionPool>,
-    /// Memory of responses that are being collected.
-    pub(crate) response_memory: ResponseMemory,
+    /// Bytes that are held for callers and targets.
+    pub(crate) buffers: Rc<CallBuffers>,
     pub(crate) lending: RefCell<Lending>,
     pub(crate) transfers: RefCell<Transfers>,
     pub(crate) origin_lookups: RefCell<OriginLookups>,
@@ -69,6 +71,10 @@
     /// Creates a gateway whose tasks and sockets have not been started.
     pub(crate) fn new(platform: P, settings: GatewaySettings) -> Self {
         let start_id = rand::rng().random();
+        let slow_target = settings
+            .features
+            .slow_readers
+            .then_some(SlowPeerOptions::TARGET);
         let state = GatewayState {
             poison: PoisonTable::new(start_id),
             ..GatewayState::default()
@@ -76,8 +82,8 @@
         Self {
             platform,
             state: RefCell::new(state),
-            pool: Rc::default(),
-            response_memory: ResponseMemory::default(),
+            pool: Rc::new(ConnectionPool::new(slow_target)),
+            buffers: Rc::new(CallBuffers::new(&settings)),
             lending: RefCell::default(),
             transfers: RefCell::default(),
             origin_lookups: RefCell::default(),
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -9,11 +9,14 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpSocket, time::timeout};
 
-use crate::socket_options::set_liveness_options;
+use crate::socket_options::{SlowPeerOptions, set_liveness_options};
 
 /// Maximum size of the head of a response, and of what is read ahead of its body.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The same for a peer that may read slowly, for which memory is counted.
+const MAX_SLOW_HEAD_BYTES: usize = 32 * 1024;
+
 /// a connection cannot be set up: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
 #[allow(
@@ -63,15 +66,27 @@
 pub async fn connect_http(
     address: SocketAddrV4,
     connect_timeout: Duration,
+) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
+    connect_http_with(address, connect_timeout, None).await
+}
+
+/// Like [`connect_http`], with `options` if the peer may read slowly.
+pub(crate) async fn connect_http_with(
+    address: SocketAddrV4,
+    connect_timeout: Duration,
+    options: Option<SlowPeerOptions>,
 ) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
     let socket = TcpSocket::new_v4().map_err(|error| ConnectError::NoSocket(error.to_string()))?;
     set_liveness_options(&socket)?;
+    if let Some(options) = options {
+        options.apply(&socket)?;
+    }
     let Ok(connected) = timeout(connect_timeout, socket.connect(address.into())).await else {
         return Err(ConnectError::TimedOut);
     };
     let stream = connected?;
     let (sender, connection) = http1::Builder::new()
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(options.map_or(MAX_HEAD_BYTES, |_slow| MAX_SLOW_HEAD_BYTES))
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
         .await?;
     tokio::task::spawn_local(async move {
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -21,11 +21,11 @@
 /// Renders the page at a path of the metrics address; [`None`] if the path is unknown.
 pub(crate) fn render_page<P: Platform>(gateway: &Gateway<P>, path: &str) -> Option<String> {
     match path {
-        "/metrics" => Some(
-            METRICS
-                .get()
-                .map_or_else(String::new, PrometheusHandle::render),
-        ),
+        "/metrics" => {
+            gateway.buffers.record_metrics();
+            let metrics = METRICS.get();
+            Some(metrics.map_or_else(String::new, PrometheusHandle::render))
+        }
         "/state" => Some(state_dump(gateway)),
         _ => None,
     }
@@ -101,6 +101,8 @@
         "calls_in_progress": state.calls_in_progress,
         "gateways": state.members.process_count(now_ms),
         "may_draw": may_draw,
+        "held_bytes": gateway.buffers.budget.accounts().total_bytes(),
+        "answers_read_ahead": gateway.buffers.readers().len(),
         "remembered_streams": state.stream_origins.len(),
         "target_connections": gateway.pool.total_open(),
         "suspected": state.poison.len(),
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -25,6 +25,7 @@
         serve_call,
     },
     settings::GatewaySettings,
+    socket_options::SlowPeerOptions,
     tasks::{
         config_watch::watch_config,
         grant_sync::sync_grants,
@@ -131,11 +132,14 @@
             let gateway = Rc::clone(self);
             move || gateway.caller_limits()
         };
+        let is_slow = self.settings.features.slow_readers;
+        let slow_caller = is_slow.then_some(SlowPeerOptions::CALLER);
         let calls = move |request| serve_call(Rc::clone(&gateway), request);
         spawn_local(serve_listener(
             "callers",
             callers,
             limits,
+            slow_caller,
             subscribe(),
             calls,
         ));
@@ -149,6 +153,7 @@
             "readiness",
             readiness,
             limits,
+            None,
             open_state.clone(),
             probes,
         ));
@@ -162,6 +167,7 @@
             "metrics",
             metrics,
             limits,
+            None,
             open_state,
             inspections,
         ));
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! It takes the current time as an argument and does no I/O.
 
 pub mod budget;
+pub mod buffers;
 pub mod config;
 pub mod keyed_log;
 pub mod limits;
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     Gateway, Platform, Refusal,
+    buffers::ByteClaim,
     config::{FleetConfig, Organisation, Route, Service, TargetEntry},
     placement::CallOutcome,
     poison::{CallDigest, CallIdentity, Fingerprint},
@@ -17,7 +18,7 @@
     wire_format::{CallHead, Dispatch, TokenCounts},
 };
 
-use super::{call_log::CallLog, poison_trial::PoisonTrial};
+use super::{call_log::CallLog, delivery::Delivery, poison_trial::PoisonTrial};
 
 /// A call that was read and authenticated, with everything needed to forward it.
 pub(crate) struct Call {
@@ -43,6 +44,8 @@
     pub(crate) fingerprints: OnceCell<Vec<Fingerprint>>,
     /// Body of the caller's request.
     pub(crate) body: Bytes,
+    /// What the call holds of the memory for calls.
+    pub(crate) claims: CallClaims,
     /// When the caller's timeout or the route's timeout ends, whichever is earlier.
     pub(crate) deadline_ms: u64,
     /// Where the stream that answers the call began, perhaps in an earlier attempt; [`None`] before
@@ -58,7 +61,28 @@
     pub(crate) progress: CallProgress,
 }
 
+/// What a call holds of the memory for calls.
+pub(crate) struct CallClaims {
+    /// Body of the request.
+    pub(crate) body: ByteClaim,
+    /// Buffers of the connections.
+    pub(crate) connections: ByteClaim,
+}
+
 impl Call {
+    /// Releases the body, which is not sent again.
+    pub(crate) fn release_body(&mut self) {
+        self.body = Bytes::new();
+        // Fails only if a claim grows.
+        let _released = self.claims.body.set(0);
+    }
+
+    /// Returns the name of the organisation; empty if the call has none.
+    pub(crate) fn organisation_name(&self) -> OrganisationName {
+        let organisation = self.organisation.as_ref();
+        organisation.map_or_else(OrganisationName::default, |o| o.name.clone())
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) const fn left_ms(&self, now_ms: u64) -> u64 {
         self.deadline_ms.saturating_sub(now_ms)
@@ -158,8 +182,9 @@
     reserved: Tokens,
     may_have_run: bool,
     has_run: bool,
-    output_tokens: u64,
     is_ended: bool,
+    /// What the caller has received of a stream.
+    pub(crate) delivery: Rc<Delivery>,
     /// Trial that the call is; [`None`] if it is none.
     pub(crate) trial: Option<PoisonTrial<P>>,
     /// Log entry of the call.
@@ -181,8 +206,8 @@
             reserved: Tokens::ZERO,
             may_have_run: false,
             has_run: false,
-            output_tokens: 0,
             is_ended: false,
+            delivery: Rc::default(),
             trial: None,
             log,
         }
@@ -220,11 +245,6 @@
         self.has_run = true;
     }
 
-    /// Sets the number of tokens delivered to the caller.
-    pub(crate) fn set_output_tokens(&mut self, tokens: u64) {
-        self.output_tokens = tokens;
-    }
-
     /// Ends the call with a refusal by the gateway.
     pub(crate) fn refuse(&mut self, refusal: Refusal, reason: &str) {
         self.is_ended = true;
@@ -236,6 +256,7 @@
     /// Ends the call with a response of a target.
     pub(crate) fn complete(&mut self, status: u16, outcome: &str) {
         self.is_ended = true;
+        self.log.events = self.delivery.events();
         let now_ms = self.gateway.now_ms();
         self.log
             .log_answered(status, outcome, self.spent().0, now_ms);
@@ -245,7 +266,7 @@
         if !self.may_have_run {
             return Tokens::ZERO;
         }
-        let output = self.output_tokens.min(self.counts.max_output);
+        let output = self.delivery.output_tokens().min(self.counts.max_output);
         Tokens(self.counts.input.saturating_add(output))
     }
 }
@@ -253,8 +274,10 @@
 impl<P: Platform> Drop for CallTracker<P> {
     fn drop(&mut self) {
         if !self.is_ended {
-            // The caller closed its connection, so hyper dropped the call before it was complete.
-            self.complete(0, "caller_left");
+            // Unless the gateway cut the stream off, the caller closed its connection, so hyper dropped the
+            // call before it was complete.
+            let (status, outcome) = self.delivery.cut_off().unwrap_or((0, "caller_left"));
+            self.complete(status, outcome);
         }
         let spent = self.spent();
         let mut state = self.gateway.state.borrow_mut();
--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -35,7 +35,7 @@
     pub(crate) first_event_ms: u64,
     /// Framing of the last response of a target.
     pub(crate) framing: BodyFraming,
-    /// Complete events that were forwarded.
+    /// Complete events that the caller has received.
     pub(crate) events: u64,
     /// Bytes that the last target sent after its last complete event.
     pub(crate) partial_event_bytes: usize,
@@ -71,9 +71,8 @@
         );
     }
 
-    /// Records how far a stream of events has come.
+    /// Records how much of an incomplete event has been read.
     pub(crate) fn record_progress(&mut self, stream: &EventSplitter) {
-        self.events = stream.events();
         self.partial_event_bytes = stream.partial_event_bytes();
     }
 
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -11,7 +11,8 @@
 
 use crate::{
     config::TargetEntry,
-    http_connection::{ConnectError, connect_http},
+    http_connection::{ConnectError, connect_http_with},
+    socket_options::SlowPeerOptions,
 };
 
 /// Timeout for establishing a connection. TCP retransmits a lost SYN only after a second, so a
@@ -50,6 +51,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
     by_target: RefCell<FastHashMap<TargetName, TargetConnections>>,
+    /// Options of connections to targets that may read slowly.
+    slow_peer_options: Option<SlowPeerOptions>,
 }
 
 #[derive(Debug, Default)]
@@ -98,6 +101,14 @@
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool, for targets that may read slowly if `options` are given.
+    pub(crate) fn new(options: Option<SlowPeerOptions>) -> Self {
+        Self {
+            slow_peer_options: options,
+            ..Self::default()
+        }
+    }
+
     /// Returns an idle connection to the target or opens a new one.
     ///
     /// # Errors
@@ -225,7 +236,8 @@
             pool: Rc::clone(self),
             target: target.name.clone(),
         };
-        let sender = connect_http(target.address, CONNECT_TIMEOUT).await?;
+        let sender =
+            connect_http_with(target.address, CONNECT_TIMEOUT, self.slow_peer_options).await?;
         metrics::counter!("toucan_target_connections_total").increment(1);
         Ok(TargetConnection {
             sender,
--- a/crates/toucan_gateway/src/serving/http_listener.rs
+++ b/crates/toucan_gateway/src/serving/http_listener.rs
@@ -8,7 +8,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::{config::CallerLimits, socket_options::set_liveness_options};
+use crate::{
+    config::CallerLimits,
+    socket_options::{SlowPeerOptions, set_liveness_options},
+};
+
+use super::caller_connection::CallerConnection;
 
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -26,11 +31,13 @@
 
 /// Accepts and serves connections until the process ends.
 ///
-/// Once the state is [`ListenerState::Closing`], open connections shut down gracefully.
+/// Once the state is [`ListenerState::Closing`], open connections shut down gracefully. If `slow_peers` are
+/// given, each request has a [`CallerConnection`] in its extensions.
 pub(crate) async fn serve_listener<H, F, B>(
     name: &'static str,
     listener: TcpListener,
     limits: impl Fn() -> CallerLimits,
+    slow_peers: Option<SlowPeerOptions>,
     state: watch::Receiver<ListenerState>,
     handler: H,
 ) where
@@ -50,7 +57,9 @@
                 continue;
             }
         };
-        if let Err(error) = set_liveness_options(&stream) {
+        let options_set = set_liveness_options(&stream)
+            .and_then(|()| slow_peers.map_or(Ok(()), |options| options.apply(&stream)));
+        if let Err(error) = options_set {
             log::debug!(target: "listener", name = name, error:% = error; "socket options cannot be set, the connection is closed");
             continue;
         }
@@ -59,7 +68,12 @@
         let limits = limits();
         let mut state = state.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(move |request| {
+            let caller = slow_peers.map(|_options| CallerConnection::default());
+            let handle = caller.clone();
+            let service = service_fn(move |mut request: Request<Incoming>| {
+                if let Some(handle) = &handle {
+                    request.extensions_mut().insert(handle.clone());
+                }
                 let response = handler(request);
                 async move { Ok::<_, Infallible>(response.await) }
             });
@@ -85,11 +99,22 @@
                     .wait_for(|state| *state == ListenerState::Closing)
                     .await;
             };
+            let served = async {
+                tokio::select! {
+                    result = connection.as_mut() => return log_end(name, result),
+                    () = closing => connection.as_mut().graceful_shutdown(),
+                }
+                log_end(name, connection.await);
+            };
+            let Some(caller) = caller else {
+                return served.await;
+            };
             tokio::select! {
-                result = connection.as_mut() => return log_end(name, result),
-                () = closing => connection.as_mut().graceful_shutdown(),
+                () = served => {}
+                () = caller.ended() => {
+                    log::debug!(target: "listener", name = name; "a call has ended whose caller does not read, its connection is closed");
+                }
             }
-            log_end(name, connection.await);
         });
     }
 }
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -3,14 +3,17 @@
 mod body_framing;
 mod call;
 mod call_log;
+mod caller_connection;
 mod choose;
 mod collect_body;
 mod connection_pool;
+mod delivery;
 mod exchange;
 pub(crate) mod http_listener;
 mod in_flight_call;
 mod permit_wait;
 mod poison_trial;
+mod read_ahead;
 mod read_call;
 mod relay;
 mod reserve_tokens;
@@ -20,7 +23,6 @@
 mod serve_call;
 
 pub(crate) use call::Call;
-pub(crate) use collect_body::ResponseMemory;
 pub(crate) use connection_pool::{ConnectionPool, TargetConnection};
 pub(crate) use reserve_tokens::{TokenWait, WaitKind};
 pub(crate) use serve_call::serve_call;
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -1,23 +1,30 @@
 //! Reads and authenticates a caller's request.
 
-use std::{cell::OnceCell, rc::Rc};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, header, request::Parts};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use toucan_types::RequestId;
+use tokio::time::timeout;
+use toucan_types::{OrganisationName, RequestId};
 
 use crate::{
     Gateway, Platform, Refusal,
+    buffers::{BufferKind, ByteClaim, CallBuffers, LimitReached},
+    clock::boot_time_ms,
     config::{FleetConfig, Organisation, Route},
     retries::CallProgress,
+    socket_options::SlowPeerOptions,
     wire_format::{CallHead, PartId},
 };
 
 use super::{
-    call::{Call, CallTracker},
+    call::{Call, CallClaims, CallTracker},
     exchange::remove_connection_headers,
+    read_ahead::TRANSIT_BYTES,
+    send::next_bytes,
 };
 
 /// Timeout of callers that send none.
@@ -26,6 +33,16 @@
 /// Longest time for which a call waits for permits to send it to targets with a limit.
 const MAX_PERMIT_WAIT_MS: u64 = 150;
 
+/// Bytes that the connections of a call may hold besides its body: the larger buffer of the caller's socket,
+/// of which one is in use at a time, the answer in the target's socket, and a piece of it.
+const CONNECTION_BYTES: u64 = (SlowPeerOptions::CALLER.receive_bytes
+    + SlowPeerOptions::TARGET.receive_bytes
+    + TRANSIT_BYTES) as u64;
+/// Largest copy of a body that the kernel holds while it sends it to a target.
+const MAX_SENT_BYTES: usize = SlowPeerOptions::TARGET.send_bytes;
+/// Size of the first part of a body for which memory is claimed.
+const MIN_BODY_CAPACITY_BYTES: usize = 8 * 1024;
+
 /// Reads and authenticates a request, and records its id, route and organisation in `tracker` for
 /// the log.
 pub(crate) async fn read_call<P: Platform>(
@@ -56,12 +73,23 @@
     }
     tracker.log.shared_parts = join_parts(&head.shared_parts());
     let id = head.id.clone().ok_or(Refusal::NoId)?;
-    let body = read_body(body, config.caller_limits.max_body_bytes).await?;
+    let caller_timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_CALLER_TIMEOUT_MS);
+    let deadline_ms = began_ms.saturating_add(caller_timeout_ms.min(route.timeout_ms));
+    let buffers = &gateway.buffers;
+    let mut claims = claims_of_call(buffers, organisation.as_deref());
+    let max_body_bytes = config.caller_limits.max_body_bytes;
+    let body = if buffers.reads_ahead {
+        let left_ms = deadline_ms.saturating_sub(gateway.now_ms());
+        let read = read_slow_body(buffers, body, max_body_bytes, &mut claims);
+        let read = timeout(Duration::from_millis(left_ms), read).await;
+        read.map_err(|_elapsed| Refusal::TooLate)??
+    } else {
+        read_body(body, max_body_bytes).await?
+    };
     let service = route
         .service_for(hash_id(&id))
         .ok_or(Refusal::NoTarget)?
         .clone();
-    let caller_timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_CALLER_TIMEOUT_MS);
     let mut headers = parts.headers;
     remove_connection_headers(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -75,7 +103,8 @@
         headers,
         fingerprints: OnceCell::new(),
         body,
-        deadline_ms: began_ms.saturating_add(caller_timeout_ms.min(route.timeout_ms)),
+        claims,
+        deadline_ms,
         route,
         head,
         origin: None,
@@ -135,3 +164,71 @@
         Err(_broken) => Err(Refusal::BodyUnreadable),
     }
 }
+
+fn claims_of_call(buffers: &CallBuffers, organisation: Option<&Organisation>) -> CallClaims {
+    let name = organisation.map_or_else(OrganisationName::default, |o| o.name.clone());
+    let claim = |kind| buffers.budget.claim(kind, name.clone());
+    CallClaims {
+        body: claim(BufferKind::RequestBody),
+        connections: claim(BufferKind::Connection),
+    }
+}
+
+/// Reads the body of a call whose caller may send slowly, as far as there is memory for it.
+async fn read_slow_body(
+    buffers: &CallBuffers,
+    mut body: Incoming,
+    max_bytes: usize,
+    claims: &mut CallClaims,
+) -> Result<Bytes, Refusal> {
+    let now_ms = boot_time_ms();
+    buffers.budget.accounts().observe(now_ms);
+    claim_memory(buffers, &mut claims.connections, CONNECTION_BYTES).await?;
+    let stated_bytes = body.size_hint().exact();
+    if stated_bytes.is_some_and(|bytes| bytes > max_bytes as u64) {
+        return Err(Refusal::BodyTooLarge);
+    }
+    let largest = stated_bytes.map_or(max_bytes, |bytes| bytes as usize);
+    let mut collected = Vec::new();
+    while let Some(bytes) = next_bytes(&mut body).await {
+        let bytes = bytes.map_err(|_broken| Refusal::BodyUnreadable)?;
+        let size = collected.len() + bytes.len();
+        if size > largest {
+            return Err(Refusal::BodyTooLarge);
+        }
+        if size > collected.capacity() {
+            // What a caller announces is not claimed before it has sent the half of it.
+            let doubled = collected.capacity() * 2;
+            let capacity = size.max(doubled).max(MIN_BODY_CAPACITY_BYTES).min(largest);
+            claim_memory(buffers, &mut claims.body, capacity as u64).await?;
+            collected.reserve_exact(capacity - collected.len());
+        }
+        collected.extend_from_slice(&bytes);
+    }
+    let held = collected.capacity() + collected.len().min(MAX_SENT_BYTES);
+    claim_memory(buffers, &mut claims.body, held as u64).await?;
+    Ok(Bytes::from(collected))
+}
+
+/// Lets a claim grow to `bytes`, or refuses the call.
+async fn claim_memory(
+    buffers: &CallBuffers,
+    claim: &mut ByteClaim,
+    bytes: u64,
+) -> Result<(), Refusal> {
+    let missing_bytes = bytes.saturating_sub(claim.bytes());
+    let grown = buffers.grow(claim, bytes).await;
+    grown.map_err(|reached: LimitReached| {
+        let accounts = buffers.budget.accounts();
+        log::info!(
+            target: "memory",
+            reason:% = reached,
+            missing_bytes = missing_bytes,
+            held_bytes = accounts.total_bytes();
+            "memory for a call is short"
+        );
+        Refusal::BuffersFull {
+            return_ms: accounts.return_ms(missing_bytes, boot_time_ms()),
+        }
+    })
+}
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use futures_util::Stream;
 use tokio::time::timeout;
 
@@ -13,6 +12,7 @@
 
 use super::{
     call::{Call, CallTracker},
+    delivery::RelayedEvents,
     response::IncompleteResponse,
     resumption::begin_stream,
     send::{EventResponse, TargetResponse, next_bytes, send_with_retries, take_retry},
@@ -30,17 +30,24 @@
 
 /// Returns the stream of events for a caller.
 ///
-/// If a target fails and the route allows it, another target resumes the stream.
+/// If a target fails and the route allows it, another target resumes the stream. The call is settled when
+/// the caller has taken all events, and otherwise when the stream is dropped.
 pub(crate) fn relay_events<P: Platform>(
     gateway: Rc<Gateway<P>>,
     mut call: Call,
     events: EventResponse<P>,
     mut tracker: CallTracker<P>,
-) -> impl Stream<Item = Result<Bytes, IncompleteResponse>> {
+) -> impl Stream<Item = Result<RelayedEvents, IncompleteResponse>> {
     async_stream::try_stream! {
         let tokens_per_event = tokens_per_event(&call);
         let status = events.response.status.as_u16();
+        let delivery = Rc::clone(&tracker.delivery);
         let mut splitter = EventSplitter::default();
+        let relayed = |splitter: &EventSplitter, bytes| RelayedEvents {
+            bytes,
+            events: splitter.events(),
+            output_tokens: splitter.events() * tokens_per_event,
+        };
         let mut events = Some(events);
         while let Some(mut source) = events.take() {
             let mut chunk = Some(std::mem::take(&mut source.first));
@@ -50,10 +57,9 @@
                         if call.origin.is_none() {
                             begin_stream(&gateway, &mut call, &source.origin);
                         }
-                        tracker.set_output_tokens(splitter.events() * tokens_per_event);
                         tracker.log.record_progress(&splitter);
                         source.in_flight_call.record_progress(&call);
-                        yield complete_events;
+                        yield relayed(&splitter, complete_events);
                     }
                 if splitter.partial_event_bytes() > MAX_EVENT_BYTES {
                     log::warn!(target: "call", id = call.id.as_str(), name = source.in_flight_call.target().as_str(); "an event is larger than allowed, the connection is closed");
@@ -83,9 +89,12 @@
                     gateway.report_sound_call(&call);
                     source.response.release_connection(&gateway.pool, gateway.now_ms());
                     let rest = splitter.finish();
+                    drop(source.in_flight_call);
+                    call.release_body();
                     if !rest.is_empty() {
-                        yield rest;
+                        yield relayed(&splitter, rest);
                     }
+                    delivery.all_taken().await;
                     tracker.complete(status, "whole");
                 }
                 StreamEnd::DeadlineReached => {
@@ -113,6 +122,7 @@
                     );
                     events = resume_stream(&gateway, &mut call, &mut tracker, &splitter).await;
                     if events.is_none() {
+                        delivery.all_taken().await;
                         tracker.complete(status, "broken_off");
                         Err(IncompleteResponse)?;
                     }
--- a/crates/toucan_gateway/src/serving/response.rs
+++ b/crates/toucan_gateway/src/serving/response.rs
@@ -12,7 +12,9 @@
 use http_body_util::Full;
 use rand::Rng;
 
-use crate::Refusal;
+use crate::{Refusal, buffers::ByteClaim};
+
+use super::{caller_connection::ConnectionLimit, read_ahead::HeldEvents};
 
 /// Range of the random factor applied to `Retry-After`.
 const RETRY_AFTER_JITTER: std::ops::Range<f64> = 0.8..1.4;
@@ -25,10 +27,17 @@
 
 impl std::error::Error for IncompleteResponse {}
 
+/// Size of the pieces in which a whole answer is sent to a caller that may read slowly.
+const PIECE_BYTES: usize = 16 * 1024;
+
 /// Body of a response.
 pub(crate) enum ResponseBody<S> {
     /// Complete body.
     Full(Full<Bytes>),
+    /// Complete body for a caller that may read slowly.
+    Pieces(BodyInPieces),
+    /// Body that is read ahead of its caller.
+    ReadAhead(HeldEvents),
     /// Body that is forwarded as it arrives.
     Stream(Pin<Box<S>>),
 }
@@ -48,6 +57,12 @@
             Self::Full(body) => Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
+            Self::Pieces(body) => {
+                Poll::Ready(body.next_piece().map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::ReadAhead(held) => held
+                .poll_next(cx)
+                .map(|next| next.map(|bytes| bytes.map(Frame::data))),
             Self::Stream(stream) => stream
                 .as_mut()
                 .poll_next(cx)
@@ -58,15 +73,47 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(body) => body.is_end_stream(),
-            Self::Stream(_) => false,
+            Self::Pieces(body) => body.rest.is_empty(),
+            Self::ReadAhead(_) | Self::Stream(_) => false,
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(body) => body.size_hint(),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Pieces(body) => SizeHint::with_exact(body.rest.len() as u64),
+            Self::ReadAhead(_) | Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Complete body that is sent in pieces, so that its memory counts until its caller has taken it.
+pub(crate) struct BodyInPieces {
+    rest: Bytes,
+    claim: ByteClaim,
+    _limit: ConnectionLimit,
+}
+
+impl BodyInPieces {
+    /// Creates the body of an answer that is to be taken within a limit of time.
+    pub(crate) const fn new(body: Bytes, claim: ByteClaim, limit: ConnectionLimit) -> Self {
+        Self {
+            rest: body,
+            claim,
+            _limit: limit,
+        }
+    }
+
+    fn next_piece(&mut self) -> Option<Bytes> {
+        if self.rest.is_empty() {
+            return None;
+        }
+        let piece = self.rest.split_to(PIECE_BYTES.min(self.rest.len()));
+        if self.rest.is_empty() {
+            // Fails only if a claim grows. The pieces share one allocation.
+            let _released = self.claim.set(0);
         }
+        Some(piece)
     }
 }
 
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Gateway, Platform, Refusal,
+    buffers::{BufferKind, ByteClaim},
     config::{RouteKind, TargetEntry},
     placement::CallOutcome,
     poison::join_fingerprints,
@@ -21,7 +22,7 @@
 use super::{
     call::{Call, CallTracker},
     choose::{ChosenTarget, choose_for_call, refusal_without_target},
-    collect_body::CollectError,
+    collect_body::{CollectError, collect_body},
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     in_flight_call::InFlightCall,
     permit_wait::take_permit,
@@ -44,6 +45,8 @@
     pub(crate) headers: http::HeaderMap,
     /// Complete body.
     pub(crate) body: Bytes,
+    /// Memory of the body.
+    pub(crate) claim: ByteClaim,
 }
 
 /// A stream of events whose first bytes were read.
@@ -303,7 +306,11 @@
             None => Err(broken),
         };
     }
-    let collected = gateway.response_memory.collect(&mut response.body);
+    let buffers = &gateway.buffers;
+    let mut claim = buffers
+        .budget
+        .claim(BufferKind::WholeAnswer, call.organisation_name());
+    let collected = collect_body(buffers, &mut claim, &mut response.body);
     let collected = timeout(left, collected).await.map_err(|_elapsed| silent)?;
     let body = collected.map_err(|error| {
         if let CollectError::Connection(outcome) = error {
@@ -316,6 +323,7 @@
         status: response.status,
         headers: std::mem::take(&mut response.headers),
         body,
+        claim,
     };
     let is_failure = full.status.is_server_error();
     let may_retry = call.route.kind == RouteKind::Idempotent
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -1,23 +1,29 @@
 //! Serves one call: reads it, reserves tokens, sends it, and forwards the response.
 
-use std::{pin::Pin, rc::Rc};
+use std::{pin::Pin, rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, TryStreamExt};
+use futures_util::{Stream, StreamExt, TryStreamExt};
 use http::{Request, Response, Version, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
-use crate::{Gateway, Platform, Refusal};
+use crate::{
+    Gateway, Platform, Refusal,
+    buffers::{BufferKind, ByteClaim, CallBuffers},
+};
 
 use super::{
     call::{Call, CallTracker},
+    caller_connection::CallerConnection,
     choose::refuse_during_pause,
     poison_trial::refuse_condemned,
+    read_ahead::ReadAhead,
     read_call::read_call,
     relay::relay_events,
     reserve_tokens::reserve_tokens,
-    response::{IncompleteResponse, ResponseBody, refusal_response},
+    response::{BodyInPieces, IncompleteResponse, ResponseBody, refusal_response},
     resumption::resolve_origin,
     send::{FullResponse, Refused, TargetResponse, send_with_retries},
 };
@@ -31,6 +37,7 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody<impl Stream<Item = Result<Bytes, IncompleteResponse>>>> {
     let mut tracker = CallTracker::new(Rc::clone(&gateway));
+    let connection = request.extensions().get::<CallerConnection>().cloned();
     let understands_chunks = request.version() >= Version::HTTP_11;
     let (call, response) = match admit_and_send(&gateway, request, &mut tracker).await {
         Ok(sent) => sent,
@@ -40,18 +47,44 @@
         }
     };
     match response {
-        TargetResponse::Full(full) => full_response(*full, &mut tracker),
+        TargetResponse::Full(full) => {
+            let deadline = deadline_of(&gateway, &call);
+            full_response(*full, &mut tracker, connection.as_ref(), deadline)
+        }
         TargetResponse::Events(events) => {
             let mut response = Response::new(());
             *response.status_mut() = events.response.status;
             *response.headers_mut() = events.response.headers.clone();
             // Another target that resumes the stream may send more or fewer bytes.
             response.headers_mut().remove(header::CONTENT_LENGTH);
-            let stream = Box::pin(relay_events(gateway, *call, *events, tracker));
+            let read_ahead = ReadAhead {
+                buffers: Rc::clone(&gateway.buffers),
+                organisation: call.organisation_name(),
+                delivery: Rc::clone(&tracker.delivery),
+                connection,
+                deadline: deadline_of(&gateway, &call),
+                status: response.status().as_u16(),
+            };
+            let buffers = Rc::clone(&gateway.buffers);
+            let events = relay_events(gateway, *call, *events, tracker);
+            if buffers.reads_ahead && understands_chunks {
+                let held = read_ahead.start(events);
+                return response.map(|()| ResponseBody::ReadAhead(held));
+            }
+            let delivery = read_ahead.delivery;
+            let stream = events.map(move |events| {
+                let events = events?;
+                delivery.record(&events);
+                Ok(events.bytes)
+            });
+            let stream = Box::pin(stream);
             if understands_chunks {
                 response.map(|()| ResponseBody::Stream(stream))
             } else {
-                collect_stream(response, stream).await
+                let claim = buffers
+                    .budget
+                    .claim(BufferKind::WholeAnswer, read_ahead.organisation);
+                collect_stream(response, stream, &buffers, claim).await
             }
         }
     }
@@ -59,23 +92,41 @@
 
 /// Builds a response with a length, for a caller that could not tell a stream which was broken off
 /// from a complete one.
-async fn collect_stream<S>(response: Response<()>, stream: Pin<Box<S>>) -> Response<ResponseBody<S>>
+async fn collect_stream<S>(
+    response: Response<()>,
+    mut stream: Pin<Box<S>>,
+    buffers: &CallBuffers,
+    mut claim: ByteClaim,
+) -> Response<ResponseBody<S>>
 where
     S: Stream<Item = Result<Bytes, IncompleteResponse>>,
 {
-    let collected = stream.try_fold(BytesMut::new(), |mut collected, events| async move {
-        if collected.len() + events.len() > MAX_COLLECTED_STREAM_BYTES {
-            return Err(IncompleteResponse);
+    let collected = async {
+        let mut collected = BytesMut::new();
+        while let Some(events) = stream.try_next().await? {
+            let size = collected.len() + events.len();
+            if size > MAX_COLLECTED_STREAM_BYTES {
+                return Err(IncompleteResponse);
+            }
+            if buffers.reads_ahead {
+                let grown = buffers.grow(&mut claim, size as u64).await;
+                grown.map_err(|_reached| IncompleteResponse)?;
+            }
+            collected.extend_from_slice(&events);
         }
-        collected.extend_from_slice(&events);
         Ok(collected)
-    });
+    };
     match collected.await {
         Ok(events) => response.map(|()| ResponseBody::Full(Full::new(events.freeze()))),
         Err(IncompleteResponse) => refusal_response(Refusal::TargetFailed),
     }
 }
 
+/// Returns when a call ends.
+fn deadline_of<P: Platform>(gateway: &Gateway<P>, call: &Call) -> Instant {
+    Instant::now() + Duration::from_millis(call.left_ms(gateway.now_ms()))
+}
+
 async fn admit_and_send<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     request: Request<Incoming>,
@@ -107,9 +158,18 @@
 fn full_response<P: Platform, S>(
     full: FullResponse,
     tracker: &mut CallTracker<P>,
+    connection: Option<&CallerConnection>,
+    deadline: Instant,
 ) -> Response<ResponseBody<S>> {
     tracker.complete(full.status.as_u16(), "whole");
-    let mut response = Response::new(ResponseBody::Full(Full::new(full.body)));
+    let body = match connection {
+        Some(connection) => {
+            let limit = connection.limit(deadline);
+            ResponseBody::Pieces(BodyInPieces::new(full.body, full.claim, limit))
+        }
+        None => ResponseBody::Full(Full::new(full.body)),
+    };
+    let mut response = Response::new(body);
     *response.status_mut() = full.status;
     *response.headers_mut() = full.headers;
     response.headers_mut().remove(header::CONTENT_LENGTH);
--- a/crates/toucan_gateway/src/socket_options.rs
+++ b/crates/toucan_gateway/src/socket_options.rs
@@ -28,3 +28,44 @@
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keep_alive)
 }
+
+/// Sizes and time-outs of a connection whose peer may read slowly.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SlowPeerOptions {
+    /// Size of the buffer of bytes that are not yet acknowledged.
+    pub(crate) send_bytes: usize,
+    /// Size of the buffer of bytes that are not yet read.
+    pub(crate) receive_bytes: usize,
+    /// Time for which sent bytes may stay unacknowledged, or a peer may leave no room for further bytes,
+    /// before the connection counts as broken.
+    pub(crate) user_timeout: Duration,
+}
+
+impl SlowPeerOptions {
+    /// Connections of callers. A call ends at its deadline, however little its caller reads. A smaller receive
+    /// buffer stalls the bodies of prompts where segments are as large as 64 KiB.
+    pub(crate) const CALLER: Self = Self {
+        send_bytes: 16 * 1024,
+        receive_bytes: 32 * 1024,
+        user_timeout: Duration::from_secs(60),
+    };
+    /// Connections to targets. A target that was cut off is noticed within the time-out. A smaller send buffer
+    /// stalls large bodies where segments are as large as 64 KiB.
+    pub(crate) const TARGET: Self = Self {
+        send_bytes: 64 * 1024,
+        receive_bytes: 32 * 1024,
+        user_timeout: Duration::from_secs(5),
+    };
+
+    /// Sets the options on a socket, in place of what [`set_liveness_options`] has set.
+    ///
+    /// # Errors
+    ///
+    /// Error of the operating system if an option cannot be set.
+    pub(crate) fn apply(self, socket: &impl std::os::fd::AsFd) -> io::Result<()> {
+        let socket = SockRef::from(socket);
+        socket.set_send_buffer_size(self.send_bytes)?;
+        socket.set_recv_buffer_size(self.receive_bytes)?;
+        socket.set_tcp_user_timeout(Some(self.user_timeout))
+    }
+}
