--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -70,6 +70,11 @@
     NoTargetInRegions,
     /// this VM cannot connect to targets, because its own link is overloaded or it has no socket left
     CannotConnect,
+    /// the memory for calls is in use
+    BuffersFull {
+        /// Time until enough of it is expected to be free, in milliseconds.
+        return_ms: u64,
+    },
 }
 
 impl std::error::Error for Refusal {}
@@ -100,7 +105,8 @@
             | Self::Stopping
             | Self::DataCentresEvacuated
             | Self::NoTargetInRegions
-            | Self::CannotConnect => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::CannotConnect
+            | Self::BuffersFull { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -124,7 +130,8 @@
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
             | Self::TargetsLimited { return_ms }
-            | Self::PoisonCall { return_ms } => return_ms,
+            | Self::PoisonCall { return_ms }
+            | Self::BuffersFull { return_ms } => return_ms,
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable | Self::OnTrial => 1_000,
@@ -184,6 +191,7 @@
             Self::DataCentresEvacuated => "data_centres_evacuated",
             Self::NoTargetInRegions => "no_target_in_regions",
             Self::CannotConnect => "cannot_connect",
+            Self::BuffersFull { .. } => "buffers_full",
         }
     }
 }
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -12,9 +12,10 @@
 use crate::{
     clock::boot_time_ms,
     config::TargetEntry,
-    http_connection::{ConnectError, connect_http},
+    http_connection::{ConnectError, connect_http_with},
     overload::{ConnectResult, LinkMonitor},
     placement::CallOutcome,
+    socket_options::SlowPeerOptions,
 };
 
 /// Maximum wait until an idle connection is ready for the next request.
@@ -95,6 +96,8 @@
 pub(crate) struct ConnectionPool {
     link: RefCell<LinkMonitor>,
     by_target: RefCell<FastHashMap<TargetName, TargetConnections>>,
+    /// Options of connections to targets that may read slowly.
+    slow_peer_options: Option<SlowPeerOptions>,
 }
 
 #[derive(Debug, Default)]
@@ -143,6 +146,14 @@
 }
 
 impl ConnectionPool {
+    /// Creates an empty pool, for targets that may read slowly if `options` are given.
+    pub(crate) fn new(options: Option<SlowPeerOptions>) -> Self {
+        Self {
+            slow_peer_options: options,
+            ..Self::default()
+        }
+    }
+
     /// Returns an idle connection to the target or opens a new one.
     ///
     /// # Errors
@@ -344,7 +355,7 @@
             link.connect_timeout_ms(left_ms, began_ms)
         };
         let timeout = Duration::from_millis(timeout_ms);
-        let connected = connect_http(target.address, timeout).await;
+        let connected = connect_http_with(target.address, timeout, self.slow_peer_options).await;
         let sender = self.record_connect(target, connected, began_ms)?;
         metrics::counter!("toucan_target_connections_total").increment(1);
         Ok(TargetConnection {
