Check a configuration before it is sent

An operator saw the errors of a configuration only after it was sent, in the logs of gateways, which keep the former one. Entries without effect were not reported anywhere: a route behind another one with the same host and prefix, a weight of 0, a key of two organisations, a misspelt `prepaid`.

`toucanctl config check FILE` reports all of them with line and column, and with `--in-force` the differences from the configuration in force and their effect on calls in flight. Errors are exactly those of the parser that gateways use; all other remarks are warnings. The check is in `platform/`, which owns the format, and `toucanctl` depends on it.

--- a/crates/toucanctl/src/commands/mod.rs
+++ b/crates/toucanctl/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod budget;
+mod config;
 mod demo;
 mod document;
 mod document_files;
@@ -17,6 +18,7 @@
 mod target;
 
 pub(crate) use budget::budget;
+pub(crate) use config::config;
 pub(crate) use demo::demo;
 pub(crate) use document::document;
 pub(crate) use explain::explain;
--- a/crates/toucanctl/src/help.rs
+++ b/crates/toucanctl/src/help.rs
@@ -74,6 +74,10 @@
         "explain REQUEST-ID --log FILE...",
         "The same from the logs of gateways; `-` is the standard input.",
     ),
+    (
+        "config check FILE [--in-force FILE] [--vm-memory-mb MB] [--call-tokens N]",
+        "Check a configuration of gateways before it is sent, and show what it changes.",
+    ),
     (
         "demo [--seconds S] [--json FILE] [--seed N]",
         "Run a small fleet with stand-ins under load and a partition, and check every promise.",
--- a/crates/toucanctl/src/lib.rs
+++ b/crates/toucanctl/src/lib.rs
@@ -14,6 +14,7 @@
 mod report;
 mod run;
 mod table;
+mod wrapped;
 
 pub use environment::Environment;
 pub use exit_code::Exit;
--- a/crates/toucanctl/src/run.rs
+++ b/crates/toucanctl/src/run.rs
@@ -53,6 +53,7 @@
         "fleet" => runtime.block_on(commands::fleet(arguments, &options)),
         "state" => runtime.block_on(commands::state(arguments, &options)),
         "explain" => runtime.block_on(commands::explain(arguments, &options)),
+        "config" => commands::config(arguments, &options),
         "key" => commands::key(arguments, &options),
         other => Err(CliError::usage(format!("there is no command `{other}`"))),
     }
