Check and compare the allowed regions of a configuration

toucanctl config check named a change of allowed regions 'other settings differ', and said nothing of a list that leaves calls without a target.

--- a/crates/toucan_gateway/src/config/allowed_regions.rs
+++ b/crates/toucan_gateway/src/config/allowed_regions.rs
@@ -14,6 +14,11 @@
         self.0.is_empty() || region.is_some_and(|region| self.0.contains(region))
     }
 
+    /// Returns the listed regions.
+    pub fn iter(&self) -> impl Iterator<Item = &RegionName> {
+        self.0.iter()
+    }
+
     /// Returns whether all targets are allowed.
     #[must_use]
     pub const fn is_empty(&self) -> bool {
--- a/crates/toucanctl/src/commands/config.rs
+++ b/crates/toucanctl/src/commands/config.rs
@@ -2,7 +2,7 @@
 
 use pico_args::Arguments;
 use toucan_on_platform::{CheckBounds, ConfigFile};
-use toucan_types::Finding;
+use toucan_types::{Finding, RegionName};
 
 use crate::cli_error::CliError;
 use crate::commands::arguments::{reject_rest, required_word};
@@ -26,9 +26,11 @@
 fn check(mut arguments: Arguments, options: &Options) -> Result<Report, CliError> {
     let in_force_name: Option<String> = arguments.opt_value_from_str("--in-force")?;
     let vm_memory_mb: Option<u64> = arguments.opt_value_from_str("--vm-memory-mb")?;
+    let regions: Option<String> = arguments.opt_value_from_str("--regions")?;
     let bounds = CheckBounds {
         vm_memory_bytes: vm_memory_mb.map(|mb| mb.saturating_mul(BYTES_PER_MB)),
         call_tokens: arguments.opt_value_from_str("--call-tokens")?,
+        regions: regions.map(|names| names.split(',').map(RegionName::from).collect()),
     };
     let name = required_word(&mut arguments, "FILE")?;
     reject_rest(arguments)?;
--- a/crates/toucanctl/src/help.rs
+++ b/crates/toucanctl/src/help.rs
@@ -75,7 +75,7 @@
         "The same from the logs of gateways; `-` is the standard input.",
     ),
     (
-        "config check FILE [--in-force FILE] [--vm-memory-mb MB] [--call-tokens N]",
+        "config check FILE [--in-force FILE] [--vm-memory-mb MB] [--call-tokens N] [--regions R,R]",
         "Check a configuration of gateways before it is sent, and show what it changes.",
     ),
     (
