Count and hold less for each slow caller, and end no answer for another slow one

Seen in trials with a gateway process, 24 organisations and 400 callers that read 1 KB/s of answers of 100 KB, on a VM of 88 MB: 62.7 MB resident with 32.8 MB counted, all of it for connections. With the room for read-ahead full, a new call was refused. Once read-ahead left room, answers whose callers were all slow would have ended each other's, up to 20 a second by END_INTERVAL_MS (not run).

Cause: the future of the task held the stream three times, 17 KB a call; hyper read up to 32 KB ahead of each target; the count had one HTTP buffer for two connections. Events read ahead could take the last of the memory. An answer that waited for memory ended the slowest one whatever its own caller read.

Change: the stream is boxed; hyper reads 16 KiB from a target that may be slow, which bounds the head of its answer too; 96 KiB are counted for a call's connections; an eighth of the memory is left for calls that arrive; an answer that waits ends only one whose caller reads four times more slowly.

Formatter and linter clean.

--- a/crates/toucan_gateway/src/buffers/byte_accounts.rs
+++ b/crates/toucan_gateway/src/buffers/byte_accounts.rs
@@ -88,10 +88,14 @@
         bytes: u64,
     ) -> Result<(), LimitReached> {
         let exceeds = |held: u64, limit: u64| held.saturating_add(bytes) > limit;
-        if exceeds(self.total_bytes(), self.limits.total_bytes) {
+        let limits = &self.limits;
+        let total_limit = match kind {
+            BufferKind::ReadAhead => limits.total_bytes - limits.arrival_bytes,
+            _ => limits.total_bytes,
+        };
+        if exceeds(self.total_bytes(), total_limit) {
             return Err(LimitReached::Total);
         }
-        let limits = &self.limits;
         let (kind_limit, organisation_limit) = match kind {
             BufferKind::ReadAhead => (
                 limits.read_ahead_bytes,
--- a/crates/toucan_gateway/src/buffers/byte_limits.rs
+++ b/crates/toucan_gateway/src/buffers/byte_limits.rs
@@ -11,6 +11,8 @@
 /// Part of the budget for events that are read ahead, so that slow callers leave room for the bodies of
 /// other calls.
 const READ_AHEAD_DIVISOR: u64 = 2;
+/// Part of the budget that events read ahead leave free for calls that arrive.
+const ARRIVAL_DIVISOR: u64 = 8;
 /// Part of the budget for bodies of one organisation, and again for its whole answers.
 const ORGANISATION_DIVISOR: u64 = 4;
 /// Part of the budget for events of one organisation's answers that are read ahead.
@@ -27,6 +29,8 @@
 pub struct ByteLimits {
     /// Maximum of all kinds together.
     pub total_bytes: u64,
+    /// Part of the total that is left free when events are read ahead.
+    pub arrival_bytes: u64,
     /// Maximum of the events that are read ahead, for all answers.
     pub read_ahead_bytes: u64,
     /// Maximum of the events that are read ahead, for one answer.
@@ -46,6 +50,7 @@
     fn default() -> Self {
         Self {
             total_bytes: u64::MAX,
+            arrival_bytes: 0,
             read_ahead_bytes: u64::MAX,
             answer_bytes: u64::MAX,
             organisation_read_ahead_bytes: u64::MAX,
@@ -67,6 +72,7 @@
             .max(MIN_TOTAL_BYTES);
         Self {
             total_bytes,
+            arrival_bytes: total_bytes / ARRIVAL_DIVISOR,
             read_ahead_bytes: total_bytes / READ_AHEAD_DIVISOR,
             answer_bytes: total_bytes / ANSWER_DIVISOR,
             organisation_read_ahead_bytes: total_bytes / ORGANISATION_READ_AHEAD_DIVISOR,
--- a/crates/toucan_gateway/src/buffers/call_buffers.rs
+++ b/crates/toucan_gateway/src/buffers/call_buffers.rs
@@ -13,7 +13,7 @@
 
 use crate::{clock::boot_time_ms, settings::GatewaySettings};
 
-use super::{BufferKind, ByteBudget, ByteClaim, ByteLimits, LimitReached, ReaderTable};
+use super::{BufferKind, ByteBudget, ByteClaim, ByteLimits, LimitReached, ReaderId, ReaderTable};
 
 /// Shortest time between two answers that are ended for lack of memory, in which the bytes of the first are
 /// released.
@@ -83,7 +83,7 @@
             }
             if timeout_at(until, released).await.is_err() {
                 if reached != LimitReached::Organisation {
-                    self.end_slowest_answer(boot_time_ms());
+                    self.end_slowest_answer(None, boot_time_ms());
                 }
                 return Err(reached);
             }
@@ -91,12 +91,18 @@
     }
 
     /// Ends the answer whose caller has read least for longest, since memory has been short for some time.
-    pub(crate) fn end_slowest_answer(&self, now_ms: u64) {
+    ///
+    /// For an answer that waits for memory, only one whose caller reads much more slowly.
+    pub(crate) fn end_slowest_answer(&self, waiting: Option<ReaderId>, now_ms: u64) {
         if now_ms < self.next_end_ms.get() {
             return;
         }
         let mut readers = self.readers();
-        let Some(ended) = readers.take_slowest(now_ms) else {
+        let ended = match waiting {
+            Some(waiting) => readers.take_much_slower(waiting, now_ms),
+            None => readers.take_slowest(now_ms),
+        };
+        let Some(ended) = ended else {
             return;
         };
         self.next_end_ms.set(now_ms + END_INTERVAL_MS);
--- a/crates/toucan_gateway/src/buffers/reader_table.rs
+++ b/crates/toucan_gateway/src/buffers/reader_table.rs
@@ -7,6 +7,10 @@
 /// Time after which an answer may be ended, so that no caller is judged before it could read.
 const MIN_AGE_MS: u64 = 2_000;
 
+/// An answer that waits for memory ends only one whose caller reads this many times more slowly, so that
+/// callers that are all slow do not end each other's answers.
+const MUCH_SLOWER: f64 = 4.0;
+
 /// Answer in a [`ReaderTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ReaderId(u64);
@@ -106,8 +110,21 @@
     /// Removes and returns the answer whose caller has read least for longest, of those for which bytes are
     /// held; [`None`] if all are too young to tell.
     pub fn take_slowest(&mut self, now_ms: u64) -> Option<EndedReader<T>> {
+        self.take_slower_than(f64::INFINITY, now_ms)
+    }
+
+    /// Does the same for an answer that waits for memory; [`None`] if no caller reads much more slowly than
+    /// its own.
+    pub fn take_much_slower(&mut self, waiting: ReaderId, now_ms: u64) -> Option<EndedReader<T>> {
+        let recent_bytes = self.readers.get(&waiting)?.recent_bytes(now_ms);
+        self.take_slower_than(recent_bytes / MUCH_SLOWER, now_ms)
+    }
+
+    fn take_slower_than(&mut self, max_bytes: f64, now_ms: u64) -> Option<EndedReader<T>> {
         let candidates = self.readers.iter().filter(|(_id, reader)| {
-            reader.held_bytes > 0 && now_ms >= reader.began_ms + MIN_AGE_MS
+            reader.held_bytes > 0
+                && now_ms >= reader.began_ms + MIN_AGE_MS
+                && reader.recent_bytes(now_ms) < max_bytes
         });
         let slowest = candidates.min_by(|(_, a), (_, b)| {
             a.recent_bytes(now_ms)
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -15,7 +15,7 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// The same for a peer that may read slowly, for which memory is counted.
-const MAX_SLOW_HEAD_BYTES: usize = 32 * 1024;
+const MAX_SLOW_HEAD_BYTES: usize = 16 * 1024;
 
 /// a connection cannot be set up: {0}
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -85,8 +85,13 @@
         return Err(ConnectError::TimedOut);
     };
     let stream = connected?;
-    let (sender, connection) = http1::Builder::new()
-        .max_buf_size(options.map_or(MAX_HEAD_BYTES, |_slow| MAX_SLOW_HEAD_BYTES))
+    let mut builder = http1::Builder::new();
+    if options.is_some() {
+        builder.read_buf_exact_size(Some(MAX_SLOW_HEAD_BYTES));
+    } else {
+        builder.max_buf_size(MAX_HEAD_BYTES);
+    }
+    let (sender, connection) = builder
         .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
         .await?;
     tokio::task::spawn_local(async move {
--- a/crates/toucan_gateway/src/serving/read_ahead.rs
+++ b/crates/toucan_gateway/src/serving/read_ahead.rs
@@ -86,7 +86,8 @@
         });
         let connection = self.connection.clone();
         let limit = connection.as_ref().map(|c| c.limit(self.deadline));
-        let task = spawn_local(self.run(Rc::clone(&held), ended, events));
+        // The future of the task would hold an unboxed stream several times.
+        let task = spawn_local(self.run(Rc::clone(&held), ended, Box::pin(events)));
         HeldEvents {
             held,
             task,
@@ -176,7 +177,8 @@
                     if matches!(shortage, Shortage::OrganisationShare) {
                         short_since = Instant::now();
                     } else if short_since.elapsed() >= SHORTAGE_PATIENCE {
-                        self.buffers.end_slowest_answer(boot_time_ms());
+                        self.buffers
+                            .end_slowest_answer(Some(self.id), boot_time_ms());
                         short_since = Instant::now();
                     }
                 }
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -34,10 +34,11 @@
 const MAX_PERMIT_WAIT_MS: u64 = 150;
 
 /// Bytes that the connections of a call may hold besides its body: the larger buffer of the caller's socket,
-/// of which one is in use at a time, the answer in the target's socket, and a piece of it.
+/// of which one is in use at a time, the answer in the target's socket, and a piece of it in the HTTP buffers
+/// of each of the two connections.
 const CONNECTION_BYTES: u64 = (SlowPeerOptions::CALLER.receive_bytes
     + SlowPeerOptions::TARGET.receive_bytes
-    + TRANSIT_BYTES) as u64;
+    + 2 * TRANSIT_BYTES) as u64;
 /// Largest copy of a body that the kernel holds while it sends it to a target.
 const MAX_SENT_BYTES: usize = SlowPeerOptions::TARGET.send_bytes;
 /// Size of the first part of a body for which memory is claimed.
--- a/crates/toucan_gateway/tests/byte_budget.rs
+++ b/crates/toucan_gateway/tests/byte_budget.rs
@@ -64,6 +64,20 @@
     assert_eq!(budget.accounts().total_bytes(), 0);
 }
 
+#[test]
+fn events_are_not_read_ahead_into_the_room_for_calls_that_arrive() {
+    let limits = ByteLimits::for_memory(None);
+    let budget = ByteBudget::new(limits);
+    let mut connections = budget.claim(BufferKind::Connection, organisation(0));
+    let most = limits.total_bytes - limits.arrival_bytes;
+    assert_eq!(connections.set(most), Ok(()));
+    let mut events = budget.claim(BufferKind::ReadAhead, organisation(0));
+    assert_eq!(events.set(1), Err(LimitReached::Total));
+    let mut body = budget.claim(BufferKind::RequestBody, organisation(0));
+    assert_eq!(body.set(limits.arrival_bytes), Ok(()));
+    assert_eq!(connections.set(most + 1), Err(LimitReached::Total));
+}
+
 #[test]
 fn refused_call_is_asked_to_return_when_its_bytes_are_released() {
     let mut accounts = ByteAccounts::new(ByteLimits::for_memory(None));
@@ -104,6 +118,23 @@
     assert_eq!(ended, ["never", "slow", "stopped", "steady"]);
 }
 
+#[test]
+fn answer_that_waits_ends_only_that_of_a_much_slower_caller() {
+    let mut readers = ReaderTable::default();
+    let [slow, equal, never] = ["slow", "equal", "never"].map(|name| readers.begin(name, 0));
+    for now_ms in (0..5_000).step_by(100) {
+        readers.record_taken(slow, 1_000, now_ms);
+        readers.record_taken(equal, 1_200, now_ms);
+    }
+    for id in [slow, equal, never] {
+        readers.set_held(id, 1_000);
+    }
+    assert_eq!(readers.take_much_slower(never, 5_000), None);
+    let ended = readers.take_much_slower(slow, 5_000);
+    assert_eq!(ended.map(|reader| reader.handle), Some("never"));
+    assert_eq!(readers.take_much_slower(equal, 5_000), None);
+}
+
 /// A caller of a simulated fleet.
 #[derive(Clone, Debug)]
 struct SimulatedCaller {
