End answers that nobody reads also when only their connections hold memory

Seen with a gateway process on a VM of 88 MB and 400 callers that read 1 KB/s: 103, 104 and 103 of 200 other calls were answered, the rest was refused with `buffers_full`, and no answer was ended.

Cause: an answer was a candidate only while counted events were held for its caller. Where the buffers of connections take the memory, one uncounted piece is held for each caller.

Change: each answer is a candidate for whose caller anything is held. The test of hundreds of slow callers also runs on 88 MB, where they do not fit.

--- a/crates/toucan_gateway/src/serving/read_ahead.rs
+++ b/crates/toucan_gateway/src/serving/read_ahead.rs
@@ -79,6 +79,7 @@
             buffers: Rc::clone(&self.buffers),
             delivery: Rc::clone(&self.delivery),
             pieces: RefCell::default(),
+            piece_bytes: Cell::default(),
             claim: RefCell::new(claim),
             end: Cell::new(None),
             waker: Cell::new(None),
@@ -125,6 +126,8 @@
     buffers: Rc<CallBuffers>,
     delivery: Rc<Delivery>,
     pieces: RefCell<VecDeque<Piece>>,
+    /// Size of the pieces, also of one that need not be counted.
+    piece_bytes: Cell<u64>,
     claim: RefCell<ByteClaim>,
     end: Cell<Option<Result<(), IncompleteResponse>>>,
     waker: Cell<Option<Waker>>,
@@ -188,6 +191,8 @@
             // The buffer that the target's connection was read into may be much larger.
             events.bytes = Bytes::copy_from_slice(&events.bytes);
         }
+        let piece_bytes = self.piece_bytes.get() + events.bytes.len() as u64;
+        self.piece_bytes.set(piece_bytes);
         self.pieces.borrow_mut().push_back(Piece {
             events,
             claimed_bytes,
@@ -226,6 +231,7 @@
         }
         self.delivery.record(&piece.events);
         let taken_bytes = piece.events.bytes.len() as u64;
+        self.piece_bytes.set(self.piece_bytes.get() - taken_bytes);
         let mut readers = self.buffers.readers();
         readers.record_taken(self.id, taken_bytes, boot_time_ms());
         drop(readers);
@@ -249,7 +255,7 @@
 
     fn record_held(&self) {
         self.delivery.set_held(self.pieces.borrow().len());
-        let held_bytes = self.claim.borrow().bytes();
+        let held_bytes = self.piece_bytes.get();
         self.buffers.readers().set_held(self.id, held_bytes);
     }
 
