Count incomplete events, and bill what is taken up to the deadline

Seen: 20 answers that each stop after 200 KiB of an event are held by a gateway whose organisation may have 2.25 MiB read ahead; none of it is counted.

Cause: only complete events were counted. Besides, when the deadline came while the target was silent, the call was settled before the task discarded what it held, so that what the caller took in between was not billed (found by reading, not seen in a run).

Change: the bytes after the last complete event count as read ahead once they exceed 16 KiB; a stream without memory for them is broken off after what is held (`ended_for_memory`). At the deadline the call is settled together with the discard.

--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -18,7 +18,9 @@
     wire_format::{CallHead, Dispatch, TokenCounts},
 };
 
-use super::{call_log::CallLog, delivery::Delivery, poison_trial::PoisonTrial};
+use super::{
+    call_log::CallLog, delivery::Delivery, poison_trial::PoisonTrial, read_ahead::TRANSIT_BYTES,
+};
 
 /// A call that was read and authenticated, with everything needed to forward it.
 pub(crate) struct Call {
@@ -67,9 +69,23 @@
     pub(crate) body: ByteClaim,
     /// Buffers of the connections.
     pub(crate) connections: ByteClaim,
+    /// Bytes after the last complete event of the answer.
+    pub(crate) partial_event: ByteClaim,
 }
 
 impl Call {
+    /// Counts the bytes after the last complete event of the answer; returns false if memory is short.
+    ///
+    /// What the connections hold includes a small part of an event.
+    pub(crate) fn hold_partial_event(&mut self, bytes: usize) -> bool {
+        let counted_bytes = if bytes > TRANSIT_BYTES {
+            bytes as u64
+        } else {
+            0
+        };
+        self.claims.partial_event.set(counted_bytes).is_ok()
+    }
+
     /// Releases the body, which is not sent again.
     pub(crate) fn release_body(&mut self) {
         self.body = Bytes::new();
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -172,6 +172,7 @@
     CallClaims {
         body: claim(BufferKind::RequestBody),
         connections: claim(BufferKind::Connection),
+        partial_event: claim(BufferKind::ReadAhead),
     }
 }
 
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -26,6 +26,8 @@
     Complete,
     Failed(CallOutcome),
     DeadlineReached,
+    /// There is no memory for the event that is being read.
+    OutOfMemory,
 }
 
 /// Returns the stream of events for a caller.
@@ -65,6 +67,9 @@
                     log::warn!(target: "call", id = call.id.as_str(), name = source.in_flight_call.target().as_str(); "an event is larger than allowed, the connection is closed");
                     break StreamEnd::Failed(CallOutcome::Broken);
                 }
+                if !call.hold_partial_event(splitter.partial_event_bytes()) {
+                    break StreamEnd::OutOfMemory;
+                }
                 let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
                 if left.is_zero() {
                     // A timeout of zero would still return bytes that are there already.
@@ -97,7 +102,15 @@
                     delivery.all_taken().await;
                     tracker.complete(status, "whole");
                 }
+                StreamEnd::OutOfMemory => {
+                    drop(source);
+                    delivery.all_taken().await;
+                    tracker.complete(status, "ended_for_memory");
+                    Err(IncompleteResponse)?;
+                }
                 StreamEnd::DeadlineReached => {
+                    // A task that reads ahead discards what is held at the deadline.
+                    delivery.all_taken().await;
                     tracker.complete(status, "deadline_reached");
                     Err(IncompleteResponse)?;
                 }
