Refuse calls for which the VM has no room

A gateway took every call. With several times its share of callers on a small link, the bodies and answers of all calls slowed each other down, connects timed out, and callers gave up. Settings state the resources of the VM, and nothing used them.

CallAdmission counts the bodies of admitted calls as a backlog of the link, and calls in progress against memory and file descriptors. Others are refused before their body is kept: 503 gateway_busy, not run, Connection: close, Retry-After of 50 to 500 ms. Their body is read to its end within bounds, since closing a connection with unread bytes loses the refusal. Without stated resources nothing is refused.

--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -66,6 +66,11 @@
     TargetSilent,
     /// this VM cannot connect to targets, because its own link is overloaded or it has no socket left
     CannotConnect,
+    /// this VM has no room for another call
+    GatewayBusy {
+        /// Time until there may be room, in milliseconds.
+        return_ms: u64,
+    },
 }
 
 impl std::error::Error for Refusal {}
@@ -94,7 +99,8 @@
             | Self::OnTrial
             | Self::TooLate
             | Self::Stopping
-            | Self::CannotConnect => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::CannotConnect
+            | Self::GatewayBusy { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -118,7 +124,8 @@
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
             | Self::TargetsLimited { return_ms }
-            | Self::PoisonCall { return_ms } => return_ms,
+            | Self::PoisonCall { return_ms }
+            | Self::GatewayBusy { return_ms } => return_ms,
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable | Self::OnTrial => 1_000,
@@ -134,7 +141,10 @@
     /// reaches another VM.
     #[must_use]
     pub const fn closes_connection(self) -> bool {
-        matches!(self, Self::Stopping | Self::CannotConnect)
+        matches!(
+            self,
+            Self::Stopping | Self::CannotConnect | Self::GatewayBusy { .. }
+        )
     }
 
     /// Returns whether a retry before [`Self::retry_after`] has passed is certain to fail.
@@ -173,6 +183,7 @@
             Self::TargetFailed => "target_failed",
             Self::TargetSilent => "target_silent",
             Self::CannotConnect => "cannot_connect",
+            Self::GatewayBusy { .. } => "gateway_busy",
         }
     }
 }
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -19,6 +19,7 @@
     budget::GatewayProcess,
     clock::boot_time_ms,
     config::CallerLimits,
+    overload::CallAdmission,
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
     poison::PoisonTable,
     serving::{ConnectionPool, ResponseMemory, http_listener::ListenerState},
@@ -71,6 +72,7 @@
         let start_id = rand::rng().random();
         let state = GatewayState {
             poison: PoisonTable::new(start_id),
+            admission: CallAdmission::new(settings.resources),
             ..GatewayState::default()
         };
         Self {
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -102,6 +102,7 @@
         "gateways": state.members.process_count(now_ms),
         "may_draw": may_draw,
         "remembered_streams": state.stream_origins.len(),
+        "calls_admitted_at_once": state.admission.max_calls(),
         "is_link_slow": gateway.pool.is_link_slow(),
         "target_connections": gateway.pool.total_open(),
         "suspected": state.poison.len(),
--- a/crates/toucan_gateway/src/overload/mod.rs
+++ b/crates/toucan_gateway/src/overload/mod.rs
@@ -1,11 +1,13 @@
 //! Load on this gateway and on the targets, and what is refused because of it.
 
+mod call_admission;
 mod connect_result;
 mod link_monitor;
 mod return_schedule;
 mod shedding;
 mod urgency_tokens;
 
+pub use call_admission::{CallAdmission, NoRoom};
 pub use connect_result::ConnectResult;
 pub use link_monitor::LinkMonitor;
 pub use return_schedule::ReturnSchedule;
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -1,16 +1,19 @@
 //! Reads and authenticates a caller's request.
 
-use std::{cell::OnceCell, rc::Rc};
+use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, header, request::Parts};
+use http_body::Body;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use tokio::time::timeout;
 use toucan_types::RequestId;
 
 use crate::{
     Gateway, Platform, Refusal,
     config::{FleetConfig, Organisation, Route},
+    overload::NoRoom,
     retries::CallProgress,
     wire_format::{CallHead, PartId},
 };
@@ -23,6 +26,11 @@
 /// Timeout of callers that send none.
 const DEFAULT_CALLER_TIMEOUT_MS: u64 = 30_000;
 
+/// Maximum size of what is read of the body of a refused call.
+const MAX_DISCARDED_BYTES: usize = 512 * 1024;
+/// Longest time for which the body of a refused call is read.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Longest time for which a call waits for permits to send it to targets with a limit.
 const MAX_PERMIT_WAIT_MS: u64 = 150;
 
@@ -56,7 +64,20 @@
     }
     tracker.log.shared_parts = join_parts(&head.shared_parts());
     let id = head.id.clone().ok_or(Refusal::NoId)?;
+    let counted_bytes = match admit(gateway, &body) {
+        Ok(counted_bytes) => counted_bytes,
+        Err(NoRoom { return_ms }) => {
+            discard_body(body).await;
+            return Err(Refusal::GatewayBusy { return_ms });
+        }
+    };
     let body = read_body(body, config.caller_limits.max_body_bytes).await?;
+    let uncounted_bytes = (body.len() as u64).saturating_sub(counted_bytes);
+    gateway
+        .state
+        .borrow_mut()
+        .admission
+        .record_body(uncounted_bytes, gateway.now_ms());
     let service = route
         .service_for(hash_id(&id))
         .ok_or(Refusal::NoTarget)?
@@ -128,6 +149,32 @@
     Err(Refusal::UnknownKey)
 }
 
+/// Admits a call whose body has not been read; returns the bytes of the body that were counted.
+fn admit<P: Platform>(gateway: &Gateway<P>, body: &Incoming) -> Result<u64, NoRoom> {
+    let now_ms = gateway.now_ms();
+    let state = &mut *gateway.state.borrow_mut();
+    let others = state.calls_in_progress.saturating_sub(1);
+    let announced_bytes = body.size_hint().lower();
+    state.admission.admit(others, announced_bytes, now_ms)
+}
+
+/// Reads the body of a refused call. Closing a connection with unread bytes would reset it, so that the
+/// caller might not get the refusal.
+async fn discard_body(mut body: Incoming) {
+    let discard = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > MAX_DISCARDED_BYTES {
+                break;
+            }
+        }
+    };
+    if timeout(MAX_DISCARD_TIME, discard).await.is_err() {
+        log::debug!(target: "call", "the body of a refused call was not read to its end");
+    }
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
     match Limited::new(body, max_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -9,7 +9,7 @@
     budget::{RestoreGate, Wallet},
     config::FleetConfig,
     limits::{CallRate, PermitGrant, PermitGranter},
-    overload::ReturnSchedule,
+    overload::{CallAdmission, ReturnSchedule},
     peers::{GatewayLocation, Members},
     placement::TargetTable,
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
@@ -65,6 +65,8 @@
     pub(crate) shortages: FastHashMap<OrganisationName, RecentShortage>,
     /// The other gateways.
     pub(crate) members: Members,
+    /// Admits calls by the room that this VM has.
+    pub(crate) admission: CallAdmission,
     /// When refused callers of each service return.
     pub(crate) return_schedules: FastHashMap<ServiceName, ReturnSchedule>,
     /// Retry budget of each service.
