Move callers from a gateway that carries much more than the others

Callers keep their connections, and the load balancer gives new ones to each ready gateway. A gateway with several times its share of callers kept them, whatever it refused.

Load messages carry the utilisation of a gateway. One at 0.6 or more, and at twice the mean of the others of its data centre, asks for relief and then, for 4 s, closes callers' connections after answers and answers readiness probes with 503. At most a quarter of the gateways of a data centre does so at a time, each for at most a tenth of its lifetime, and none that hears from fewer than three others.

Answers and probes of a real gateway in relief are not tested.

--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -102,6 +102,8 @@
         "gateways": state.members.process_count(now_ms),
         "may_draw": may_draw,
         "remembered_streams": state.stream_origins.len(),
+        "utilisation_permille": state.utilisation_permille(now_ms),
+        "moves_callers": state.moves_callers(),
         "calls_admitted_at_once": state.admission.max_calls(),
         "is_link_slow": gateway.pool.is_link_slow(),
         "target_connections": gateway.pool.total_open(),
--- a/crates/toucan_gateway/src/overload/call_admission.rs
+++ b/crates/toucan_gateway/src/overload/call_admission.rs
@@ -18,6 +18,8 @@
 const OPEN_FILES_FRACTION: f64 = 0.8;
 /// File descriptors of a call in progress: the connections to its caller and to its target.
 const FILES_PER_CALL: f64 = 2.0;
+/// Time over which the utilisation of the link is averaged.
+const UTILISATION_MS: f64 = 2_000.0;
 /// Number of calls in progress that are always admitted.
 const MIN_CALLS: u32 = 16;
 /// Range of the time after which a refused caller may return. Its next attempt probably reaches another VM.
@@ -39,6 +41,9 @@
     resources: VmResources,
     /// When the link has sent the bodies that were admitted.
     link_free_at_ms: f64,
+    /// Time for which the offered bodies occupy the link, with older ones counting less.
+    offered_ms: f64,
+    offered_at_ms: u64,
 }
 
 impl CallAdmission {
@@ -48,6 +53,8 @@
         Self {
             resources,
             link_free_at_ms: 0.0,
+            offered_ms: 0.0,
+            offered_at_ms: 0,
         }
     }
 
@@ -64,6 +71,7 @@
         body_bytes: u64,
         now_ms: u64,
     ) -> Result<u64, NoRoom> {
+        self.record_offered(body_bytes.min(MAX_ANNOUNCED_BYTES), now_ms);
         let backlog_ms = (self.link_free_at_ms - now_ms as f64).max(0.0);
         if backlog_ms > MAX_LINK_BACKLOG_MS || calls_in_progress >= self.max_calls() {
             let return_ms = backlog_ms.clamp(*RETURN_MS.start(), *RETURN_MS.end());
@@ -78,11 +86,35 @@
 
     /// Counts bytes of a body.
     pub fn record_body(&mut self, bytes: u64, now_ms: u64) {
-        if let Some(bits_per_s) = self.resources.link_bits_per_s {
+        let began_ms = self.link_free_at_ms.max(now_ms as f64);
+        self.link_free_at_ms = began_ms + self.link_ms(bytes);
+    }
+
+    /// Returns the part of the link or of the places for calls that is in use, whichever is larger. It exceeds
+    /// 1,000 if more is offered than the link can carry.
+    #[must_use]
+    pub fn utilisation_permille(&self, calls_in_progress: u32, now_ms: u64) -> u32 {
+        let by_calls = f64::from(calls_in_progress) / f64::from(self.max_calls());
+        let by_link = self.recent_offered_ms(now_ms) / UTILISATION_MS;
+        (by_calls.max(by_link) * 1_000.0) as u32
+    }
+
+    fn record_offered(&mut self, bytes: u64, now_ms: u64) {
+        self.offered_ms = self.recent_offered_ms(now_ms) + self.link_ms(bytes);
+        self.offered_at_ms = now_ms;
+    }
+
+    fn recent_offered_ms(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.offered_at_ms) as f64;
+        self.offered_ms * (-age_ms / UTILISATION_MS).exp()
+    }
+
+    /// Returns the time for which a body occupies the link.
+    fn link_ms(&self, bytes: u64) -> f64 {
+        self.resources.link_bits_per_s.map_or(0.0, |bits_per_s| {
             let bytes_per_ms = bits_per_s * LINK_FRACTION / 8_000.0;
-            let began_ms = self.link_free_at_ms.max(now_ms as f64);
-            self.link_free_at_ms = began_ms + bytes as f64 / bytes_per_ms;
-        }
+            bytes as f64 / bytes_per_ms
+        })
     }
 
     /// Returns the number of calls that may be in progress.
--- a/crates/toucan_gateway/src/overload/mod.rs
+++ b/crates/toucan_gateway/src/overload/mod.rs
@@ -3,13 +3,19 @@
 mod call_admission;
 mod connect_result;
 mod link_monitor;
+mod relief;
+mod relief_phase;
 mod return_schedule;
 mod shedding;
 mod urgency_tokens;
+mod utilisation_report;
 
 pub use call_admission::{CallAdmission, NoRoom};
 pub use connect_result::ConnectResult;
 pub use link_monitor::LinkMonitor;
+pub use relief::Relief;
+pub use relief_phase::ReliefPhase;
 pub use return_schedule::ReturnSchedule;
 pub use shedding::overload_retry_after_ms;
 pub use urgency_tokens::UrgencyTokens;
+pub use utilisation_report::UtilisationReport;
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -2,13 +2,17 @@
 
 use toucan_types::TargetName;
 
-use crate::overload::UrgencyTokens;
+use crate::overload::{ReliefPhase, UrgencyTokens};
 
 /// The load of one gateway.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LoadReport {
     /// Its calls at targets. Targets that are not listed have none.
     pub calls: Vec<TargetCalls>,
+    /// Part of its resources that is in use.
+    pub utilisation_permille: u32,
+    /// How far it is in moving callers to others of its data centre.
+    pub relief: ReliefPhase,
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::{DataCentreName, FastHashMap, VmName};
 
-use crate::{binary_format, budget::PeerRecovery};
+use crate::{binary_format, budget::PeerRecovery, overload::UtilisationReport};
 
 use super::{GatewayLocation, permit_share::MajorityWatch};
 
@@ -58,6 +58,8 @@
     pub last_seen_ms: u64,
     /// How far it has come since the store's last restore.
     pub(crate) recovery: PeerRecovery,
+    /// Its utilisation; [`None`] before its first report.
+    pub(crate) utilisation: Option<UtilisationReport>,
 }
 
 impl Member {
@@ -87,6 +89,7 @@
             entry,
             last_seen_ms: now_ms,
             recovery: PeerRecovery::default(),
+            utilisation: None,
         };
         self.by_vm.insert(vm, member);
     }
@@ -132,6 +135,20 @@
         neighbours.map(|(vm, _member)| vm.clone()).collect()
     }
 
+    /// Returns the utilisation of the other live gateways in the data centre of `local`.
+    pub(crate) fn utilisations(
+        &self,
+        local: &GatewayLocation,
+        now_ms: u64,
+    ) -> Vec<UtilisationReport> {
+        let neighbours = self
+            .live(now_ms)
+            .filter(|(_vm, member)| member.entry.data_centre == local.data_centre);
+        neighbours
+            .filter_map(|(_vm, member)| member.utilisation)
+            .collect()
+    }
+
     /// Returns the number of gateways that share the fleet's limits, including this one.
     ///
     /// A gateway that hears from a majority assumes that the others have ended or are a minority
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, TryStreamExt};
-use http::{Request, Response, Version, header};
+use http::{HeaderValue, Request, Response, Version, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -29,6 +29,23 @@
 pub(crate) async fn serve_call<P: Platform>(
     gateway: Rc<Gateway<P>>,
     request: Request<Incoming>,
+) -> Response<ResponseBody<impl Stream<Item = Result<Bytes, IncompleteResponse>>>> {
+    let response = serve(Rc::clone(&gateway), request).await;
+    close_after(&gateway, response)
+}
+
+/// Makes a response close its connection while callers are moved to other gateways.
+fn close_after<P: Platform, B>(gateway: &Gateway<P>, mut response: Response<B>) -> Response<B> {
+    if gateway.state.borrow().moves_callers() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+async fn serve<P: Platform>(
+    gateway: Rc<Gateway<P>>,
+    request: Request<Incoming>,
 ) -> Response<ResponseBody<impl Stream<Item = Result<Bytes, IncompleteResponse>>>> {
     let mut tracker = CallTracker::new(Rc::clone(&gateway));
     let understands_chunks = request.version() >= Version::HTTP_11;
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -9,7 +9,7 @@
     budget::{RestoreGate, Wallet},
     config::FleetConfig,
     limits::{CallRate, PermitGrant, PermitGranter},
-    overload::{CallAdmission, ReturnSchedule},
+    overload::{CallAdmission, Relief, ReturnSchedule},
     peers::{GatewayLocation, Members},
     placement::TargetTable,
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
@@ -67,6 +67,8 @@
     pub(crate) members: Members,
     /// Admits calls by the room that this VM has.
     pub(crate) admission: CallAdmission,
+    /// Whether callers are moved to other gateways; [`None`] before the first load message.
+    pub(crate) relief: Option<Relief>,
     /// When refused callers of each service return.
     pub(crate) return_schedules: FastHashMap<ServiceName, ReturnSchedule>,
     /// Retry budget of each service.
@@ -137,11 +139,33 @@
     }
 
     /// Returns whether the gateway is ready to accept new calls.
-    pub(crate) const fn is_ready(&self) -> bool {
+    pub(crate) fn is_ready(&self) -> bool {
         self.config.is_some()
             && self.targets_loaded
             && self.grants_loaded
             && self.stopping_since_ms.is_none()
+            && !self.moves_callers()
+    }
+
+    /// Returns whether callers are moved to other gateways, because this one carries much more.
+    pub(crate) fn moves_callers(&self) -> bool {
+        self.relief.is_some_and(|relief| relief.is_active())
+    }
+
+    /// Returns the part of the resources of this VM that is in use.
+    pub(crate) fn utilisation_permille(&self, now_ms: u64) -> u32 {
+        self.admission
+            .utilisation_permille(self.calls_in_progress, now_ms)
+    }
+
+    /// Decides whether callers are moved to other gateways; returns whether that changed.
+    pub(crate) fn update_relief(&mut self, id: u64, local: &GatewayLocation, now_ms: u64) -> bool {
+        let was_active = self.moves_callers();
+        let utilisation_permille = self.utilisation_permille(now_ms);
+        let reports = self.members.utilisations(local, now_ms);
+        let relief = self.relief.get_or_insert_with(|| Relief::new(now_ms));
+        relief.update(id, utilisation_permille, &reports, now_ms);
+        self.moves_callers() != was_active
     }
 
     /// Returns the time for which calls are still accepted; [`None`] if no shutdown has begun.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Gateway, Platform,
+    overload::{Relief, ReliefPhase, UtilisationReport},
     peers::{
         Datagram, DatagramError, GatewayLocation, LoadReport, PeerMessage, TargetCalls, Transfers,
     },
@@ -75,7 +76,12 @@
             .iter()
             .map(|(vm, _member)| vm.clone())
             .collect();
-        let message = PeerMessage::Load(LoadReport { calls });
+        let (utilisation_permille, relief) = update_relief(&gateway);
+        let message = PeerMessage::Load(LoadReport {
+            calls,
+            utilisation_permille,
+            relief,
+        });
         gateway.send_to_peers(vms.iter(), message);
         let recovery = gateway.state.borrow().restore_gate.to_tell();
         if let Some(recovery) = recovery {
@@ -170,7 +176,17 @@
             gateway.poison_changed.notify_waiters();
         }
         PeerMessage::Condemned(verdict) => gateway.accept_verdict(&verdict),
-        PeerMessage::Load(report) => record_peer_load(gateway, datagram.start, &report, now_ms),
+        PeerMessage::Load(report) => {
+            if let Some(member) = gateway.state.borrow_mut().members.get_mut(&datagram.vm) {
+                member.utilisation = Some(UtilisationReport {
+                    id: datagram.start,
+                    utilisation_permille: report.utilisation_permille,
+                    phase: report.relief,
+                    received_at_ms: now_ms,
+                });
+            }
+            record_peer_load(gateway, datagram.start, &report, now_ms);
+        }
         PeerMessage::AskLoan { lender_start, .. } if lender_start != gateway.start_id() => {
             log::debug!(target: "budget", vm = datagram.vm.as_str(); "a loan request to a former process of this VM was ignored");
         }
@@ -242,6 +258,31 @@
     }
 }
 
+/// Decides whether callers are moved to other gateways; returns the utilisation and how far that is.
+fn update_relief<P: Platform>(gateway: &Gateway<P>) -> (u32, ReliefPhase) {
+    let now_ms = gateway.now_ms();
+    let state = &mut *gateway.state.borrow_mut();
+    let has_changed = state.update_relief(gateway.start_id(), &gateway.location, now_ms);
+    let utilisation_permille = state.utilisation_permille(now_ms);
+    if has_changed {
+        let is_active = state.moves_callers();
+        if is_active {
+            metrics::counter!("toucan_reliefs_total").increment(1);
+        }
+        log::warn!(
+            target: "process",
+            is_active = is_active,
+            utilisation_permille = utilisation_permille;
+            "the gateway carries much more than the others of its data centre: moving callers begins or ends"
+        );
+    }
+    let relief = state.relief.as_ref();
+    (
+        utilisation_permille,
+        relief.map_or(ReliefPhase::None, Relief::phase),
+    )
+}
+
 fn record_stream_origin<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     sender: &VmName,
