--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -75,6 +75,11 @@
         /// Time until enough of it is expected to be free, in milliseconds.
         return_ms: u64,
     },
+    /// this VM has no room for another call
+    GatewayBusy {
+        /// Time until there may be room, in milliseconds.
+        return_ms: u64,
+    },
 }
 
 impl std::error::Error for Refusal {}
@@ -106,7 +111,8 @@
             | Self::DataCentresEvacuated
             | Self::NoTargetInRegions
             | Self::CannotConnect
-            | Self::BuffersFull { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::BuffersFull { .. }
+            | Self::GatewayBusy { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::TargetFailed => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -131,7 +137,8 @@
             | Self::TargetsThrottling { return_ms }
             | Self::TargetsLimited { return_ms }
             | Self::PoisonCall { return_ms }
-            | Self::BuffersFull { return_ms } => return_ms,
+            | Self::BuffersFull { return_ms }
+            | Self::GatewayBusy { return_ms } => return_ms,
             // The gateways that know may be reachable again, or the next attempt may reach one.
             Self::NotConfigured | Self::StreamOriginUnknown => 500,
             Self::BudgetNotReachable | Self::OnTrial => 1_000,
@@ -150,7 +157,10 @@
     /// reaches another VM.
     #[must_use]
     pub const fn closes_connection(self) -> bool {
-        matches!(self, Self::Stopping | Self::CannotConnect)
+        matches!(
+            self,
+            Self::Stopping | Self::CannotConnect | Self::GatewayBusy { .. }
+        )
     }
 
     /// Returns whether a retry before [`Self::retry_after`] has passed is certain to fail.
@@ -192,6 +202,7 @@
             Self::NoTargetInRegions => "no_target_in_regions",
             Self::CannotConnect => "cannot_connect",
             Self::BuffersFull { .. } => "buffers_full",
+            Self::GatewayBusy { .. } => "gateway_busy",
         }
     }
 }
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -22,6 +22,7 @@
     buffers::CallBuffers,
     clock::boot_time_ms,
     config::CallerLimits,
+    overload::CallAdmission,
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
     poison::PoisonTable,
     serving::{ConnectionPool, http_listener::ListenerState},
@@ -81,6 +82,7 @@
             .then_some(SlowPeerOptions::TARGET);
         let state = GatewayState {
             poison: PoisonTable::new(start_id),
+            admission: CallAdmission::new(settings.resources),
             ..GatewayState::default()
         };
         Self {
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -15,6 +15,7 @@
     buffers::{BufferKind, ByteClaim, CallBuffers, LimitReached},
     clock::boot_time_ms,
     config::{FleetConfig, Organisation, Route},
+    overload::NoRoom,
     retries::CallProgress,
     socket_options::SlowPeerOptions,
     wire_format::{CallHead, PartId},
@@ -30,6 +31,11 @@
 /// Timeout of callers that send none.
 const DEFAULT_CALLER_TIMEOUT_MS: u64 = 30_000;
 
+/// Maximum size of what is read of the body of a refused call.
+const MAX_DISCARDED_BYTES: usize = 512 * 1024;
+/// Longest time for which the body of a refused call is read.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Longest time for which a call waits for permits to send it to targets with a limit.
 const MAX_PERMIT_WAIT_MS: u64 = 150;
 
@@ -76,6 +82,13 @@
     let id = head.id.clone().ok_or(Refusal::NoId)?;
     let caller_timeout_ms = head.caller_timeout_ms.unwrap_or(DEFAULT_CALLER_TIMEOUT_MS);
     let deadline_ms = began_ms.saturating_add(caller_timeout_ms.min(route.timeout_ms));
+    let counted_bytes = match admit(gateway, &body) {
+        Ok(counted_bytes) => counted_bytes,
+        Err(NoRoom { return_ms }) => {
+            discard_body(body).await;
+            return Err(Refusal::GatewayBusy { return_ms });
+        }
+    };
     let buffers = &gateway.buffers;
     let mut claims = claims_of_call(buffers, organisation.as_deref());
     let max_body_bytes = config.caller_limits.max_body_bytes;
@@ -87,6 +100,12 @@
     } else {
         read_body(body, max_body_bytes).await?
     };
+    let uncounted_bytes = (body.len() as u64).saturating_sub(counted_bytes);
+    gateway
+        .state
+        .borrow_mut()
+        .admission
+        .record_body(uncounted_bytes, gateway.now_ms());
     let service = route
         .service_for(hash_id(&id))
         .ok_or(Refusal::NoTarget)?
@@ -158,6 +177,32 @@
     Err(Refusal::UnknownKey)
 }
 
+/// Admits a call whose body has not been read; returns the bytes of the body that were counted.
+fn admit<P: Platform>(gateway: &Gateway<P>, body: &Incoming) -> Result<u64, NoRoom> {
+    let now_ms = gateway.now_ms();
+    let state = &mut *gateway.state.borrow_mut();
+    let others = state.calls_in_progress.saturating_sub(1);
+    let announced_bytes = body.size_hint().lower();
+    state.admission.admit(others, announced_bytes, now_ms)
+}
+
+/// Reads the body of a refused call. Closing a connection with unread bytes would reset it, so that the
+/// caller might not get the refusal.
+async fn discard_body(mut body: Incoming) {
+    let discard = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > MAX_DISCARDED_BYTES {
+                break;
+            }
+        }
+    };
+    if timeout(MAX_DISCARD_TIME, discard).await.is_err() {
+        log::debug!(target: "call", "the body of a refused call was not read to its end");
+    }
+}
+
 async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
     match Limited::new(body, max_bytes).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
