Wait for evacuations for a part of the bound only where the settings have one

Reads of the configuration waited 1.25 s instead of 2 s in all deployments, which costs those without a bound for evacuations more calls of the store. Bounds::evacuate_ms is optional now.

--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -65,8 +65,9 @@
     pub retry_slack: u32,
     /// Maximum number of partitions of a topic.
     pub most_partitions: u32,
-    /// Time after which no call may reach a data centre whose evacuation the store has acknowledged.
-    pub evacuate_ms: u64,
+    /// Time after which no call may reach a data centre whose evacuation the store has acknowledged;
+    /// [`None`] if the deployment sets no bound.
+    pub evacuate_ms: Option<u64>,
 }
 
 impl Default for Bounds {
@@ -77,7 +78,7 @@
             retry_ratio: 0.1,
             retry_slack: 10,
             most_partitions: 1,
-            evacuate_ms: 5_000,
+            evacuate_ms: None,
         }
     }
 }
--- a/crates/toucan_gateway/src/tasks/config_watch.rs
+++ b/crates/toucan_gateway/src/tasks/config_watch.rs
@@ -29,7 +29,8 @@
     let mut health = StoreHealth::new("configuration");
     let mut evacuations = EvacuationRecords::default();
     loop {
-        let wait_ms = gateway.bounds().evacuate_ms / READ_WAIT_PER_BOUND;
+        let bound_ms = gateway.bounds().evacuate_ms;
+        let wait_ms = bound_ms.map_or(MAX_READ_WAIT_MS, |ms| ms / READ_WAIT_PER_BOUND);
         let wait = Duration::from_millis(wait_ms.clamp(MIN_READ_WAIT_MS, MAX_READ_WAIT_MS));
         match consumer.read(&gateway.platform, wait).await {
             Ok(consumed) => {
--- a/crates/toucan_gateway/tests/fleet_shares.rs
+++ b/crates/toucan_gateway/tests/fleet_shares.rs
@@ -25,7 +25,7 @@
         retry_ratio: 0.2,
         retry_slack: 56,
         most_partitions: 1,
-        evacuate_ms: 5_000,
+        evacuate_ms: None,
     }
 }
 
