Send calls where slots and KV cache have room, and spread them

Slots and KV cache of engines were not read, so a call could go to a target that rejects it or preempts another call for it, and all gateways sent to the targets that seemed best in the last reports.

engine.slots, engine.kvCapacity and the caller's expected output are read. Gateways tell the tokens of their calls in each target's KV cache. A target where a call does not fit is used only if it fits nowhere.

--- a/crates/toucan_gateway/src/config/service.rs
+++ b/crates/toucan_gateway/src/config/service.rs
@@ -20,8 +20,12 @@
 }
 
 /// Settings of a service's model engines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct EngineSettings {
     /// Maximum number of tokens in one event of a stream.
     pub tokens_per_event: u32,
+    /// Calls that an engine runs at once; [`None`] if the configuration does not say.
+    pub slots: Option<u32>,
+    /// Tokens that the KV cache of an engine holds; [`None`] if the configuration does not say.
+    pub kv_capacity_tokens: Option<u64>,
 }
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -5,7 +5,9 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::json;
 
-use crate::{Gateway, Platform, limits::CallRate, poison::join_fingerprints};
+use crate::{
+    Gateway, Platform, limits::CallRate, placement::TargetState, poison::join_fingerprints,
+};
 
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
@@ -36,6 +38,10 @@
     let now_ms = gateway.now_ms();
     let mut state = gateway.state.borrow_mut();
     let may_draw = state.may_draw(now_ms);
+    let engine_of = |target: &TargetState| {
+        let services = &state.config.as_ref()?.services;
+        services.get(&target.entry.service)?.engine
+    };
     let targets: Vec<_> = state
         .targets
         .iter()
@@ -55,8 +61,10 @@
                 }),
                 "limit_stated_ms_ago": target.limit.rate().map(|_rate| target.limit.age_ms(now_ms)),
                 "throttled_ms": target.throttled_until_ms.saturating_sub(now_ms),
-                "in_flight": target.in_flight,
+                "in_flight": target.own.in_flight,
                 "load": target.load(now_ms),
+                "free_slots": target.room(engine_of(target), now_ms).free_slots,
+                "free_kv_tokens": target.room(engine_of(target), now_ms).free_kv_tokens,
                 "slowness": target.pace.slowness(),
                 "pace_confidence": target.pace.confidence(now_ms),
                 "failed_part": target.failures.failure_rate(),
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -20,6 +20,8 @@
     pub in_flight: u32,
     /// Prompt tokens of those calls that the target still has to process.
     pub unread_tokens: u64,
+    /// Tokens of those calls in the target's KV cache, with the output that is expected.
+    pub kv_tokens: u64,
     /// Samples of the target's pace since the last report.
     pub pace: PaceReport,
     /// Lowest bits of the Unix time of the target's start that the samples are of, in milliseconds.
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -24,6 +24,10 @@
     pub delay_ms_per_slot: f64,
     /// Penalty for a target that fails all its calls; it is scaled by the failure rate.
     pub failure_penalty_ms: f64,
+    /// Penalty for a target where the call does not fit. Such a target rejects the call, lets it wait for
+    /// another one to end, or preempts a call and processes its prompt again. It exceeds all other
+    /// penalties, so a target without room gets a call only if no other has room.
+    pub no_room_penalty_ms: f64,
     /// Penalty for a target in another data centre.
     pub cross_data_centre_penalty_ms: f64,
     /// Weight of the time to process uncached shared parts. It exceeds 1, because processing them
@@ -43,6 +47,7 @@
             delay_ms_per_call: 8.0,
             delay_ms_per_slot: 40.0,
             failure_penalty_ms: 2_000.0,
+            no_room_penalty_ms: 10_000.0,
             cross_data_centre_penalty_ms: 2.0,
             cache_miss_weight: 6.0,
             affinity_miss_fraction: 0.05,
@@ -91,6 +96,8 @@
     pub engine: Option<EngineSettings>,
     /// Parts of the prompt, in order.
     pub parts: &'a [PromptPart],
+    /// Output tokens to expect.
+    pub output_tokens: u64,
     /// Data centre of this VM.
     pub data_centre: &'a DataCentreName,
     /// Only software version that may get the call; [`None`] if every version may.
@@ -123,7 +130,7 @@
         .filter(|target| target.has_version(request.software_version))
         .filter(|target| !request.tried.contains(&target.entry.name))
         .filter(|target| !request.denied.contains(&target.entry.name))
-        .filter(|target| target.in_flight < request.max_in_flight)
+        .filter(|target| target.own.in_flight < request.max_in_flight)
         .collect();
     let any_healthy = candidates
         .iter()
@@ -177,6 +184,14 @@
     };
     let load = f64::from(target.load(now_ms));
     let slots = f64::from(target.entry.slots.max(1));
+    let room = target.room(request.engine, now_ms);
+    let uncached_tokens = target.prompt_cache.uncached_tokens(request.parts, now_ms);
+    let room_ms = if room.fits(uncached_tokens + request.output_tokens) {
+        0.0
+    } else {
+        settings.no_room_penalty_ms
+    };
+    let unknown_calls = unknown_calls(request, target, now_ms);
     let excess_calls = (load + 1.0 - slots).max(0.0);
     let processing_ms = if request.engine.is_some() {
         let slowness = target.pace.slowness();
@@ -187,17 +202,33 @@
         let unshared = request.parts.last().map_or(0, |part| part.tokens) as f64;
         let own_ms = settings.min_first_event_ms + unshared / settings.prefill_tokens_per_ms;
         let miss_ms = cache_miss_ms(request, target, is_affinity_target, settings, now_ms);
-        load * settings.delay_ms_per_call * slowness
+        (load + unknown_calls) * settings.delay_ms_per_call * slowness
             + prefill_backlog_ms
             + miss_ms * slowness
             + excess_calls * 10.0 * settings.delay_ms_per_call * slowness
             + own_ms * (slowness - 1.0)
     } else {
-        load * settings.delay_ms_per_slot / slots + excess_calls * settings.delay_ms_per_slot
+        (load + unknown_calls) * settings.delay_ms_per_slot / slots
+            + excess_calls * settings.delay_ms_per_slot
     };
-    failure_ms + distance_ms + processing_ms
+    failure_ms + distance_ms + room_ms + processing_ms
 }
 
+/// Returns a random deviation of the calls at a target from what other VMs reported, as large as the calls that
+/// begin and end between two reports make likely.
+///
+/// All VMs choose from the same reports. Without the draw, all calls until the next reports go to the targets
+/// that seemed best in the last ones. Without calls of other VMs the deviation is 0.
+fn unknown_calls(request: &ChoiceRequest<'_>, target: &TargetState, now_ms: u64) -> f64 {
+    let peer_calls = f64::from(target.load(now_ms) - target.own.in_flight);
+    let draw = target_hash(request.tie_break_seed, &target.entry.name) as f64 / u64::MAX as f64;
+    (draw - 0.5) * UNKNOWN_CALLS_WIDTH * peer_calls.sqrt()
+}
+
+/// Range of the calls at a target that have begun or ended since the last reports, as a multiple of the square
+/// root of those reported.
+const UNKNOWN_CALLS_WIDTH: f64 = 4.0;
+
 /// Returns the cost of the shared prompt parts that the target does not have cached.
 ///
 /// The last part belongs to the call or its session, so every target has to process it.
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -5,21 +5,19 @@
 use toucan_types::{FastHashMap, SoftwareVersion};
 
 use crate::{
-    config::TargetEntry,
+    config::{EngineSettings, TargetEntry},
     limits::{CallRate, LimitRecord, Permits},
 };
 
-use super::{FailureHistory, PromptCacheEstimate, TargetPace};
+use super::{FailureHistory, PromptCacheEstimate, Room, TargetPace};
 
 /// The state of a target as seen by this VM.
 #[derive(Clone, Debug)]
 pub struct TargetState {
     /// Registration of the target.
     pub entry: Rc<TargetEntry>,
-    /// Number of this VM's calls in flight at the target.
-    pub in_flight: u32,
-    /// Prompt tokens of those calls that are neither processed yet nor expected to be cached.
-    pub unread_tokens: u64,
+    /// Load of this VM's calls.
+    pub own: TargetLoad,
     /// Recent failures.
     pub failures: FailureHistory,
     /// Estimate of the prompt parts that the target has cached.
@@ -42,11 +40,22 @@
     peer_loads: FastHashMap<u64, PeerLoad>,
 }
 
+/// Load that one VM puts on a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// Number of calls in flight.
+    pub in_flight: u32,
+    /// Prompt tokens of those calls that are neither processed yet nor expected to be cached.
+    pub unread_tokens: u64,
+    /// Tokens of those calls in the KV cache, with the output that is expected, without prompt parts that
+    /// were cached before.
+    pub kv_tokens: u64,
+}
+
 /// Another VM's load at a target, as last reported.
 #[derive(Clone, Copy, Debug)]
 struct PeerLoad {
-    in_flight: u32,
-    unread_tokens: u64,
+    load: TargetLoad,
     updated_at_ms: u64,
 }
 
@@ -61,8 +70,7 @@
     pub fn new(entry: Rc<TargetEntry>) -> Self {
         Self {
             entry,
-            in_flight: 0,
-            unread_tokens: 0,
+            own: TargetLoad::default(),
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
             pace: TargetPace::default(),
@@ -135,11 +143,10 @@
         [self.limit.rate(), cold_limit].into_iter().flatten().min()
     }
 
-    /// Sets another VM's load: its calls in flight here, and their unprocessed prompt tokens.
-    pub fn set_peer_load(&mut self, peer: u64, in_flight: u32, unread_tokens: u64, now_ms: u64) {
+    /// Sets another VM's load.
+    pub fn set_peer_load(&mut self, peer: u64, load: TargetLoad, now_ms: u64) {
         let load = PeerLoad {
-            in_flight,
-            unread_tokens,
+            load,
             updated_at_ms: now_ms,
         };
         if self.peer_loads.len() >= MAX_PEERS {
@@ -162,9 +169,26 @@
     pub fn load(&self, now_ms: u64) -> u32 {
         let peer_total: u32 = self
             .recent_peer_loads(now_ms)
-            .map(|load| load.in_flight)
-            .sum();
-        self.in_flight + peer_total
+            .map(|peer| peer.load.in_flight)
+            .fold(0, u32::saturating_add);
+        self.own.in_flight.saturating_add(peer_total)
+    }
+
+    /// Returns the tokens in the KV cache for the calls in flight, including those that other VMs reported.
+    #[must_use]
+    pub fn kv_tokens(&self, now_ms: u64) -> u64 {
+        let peer_total = self
+            .recent_peer_loads(now_ms)
+            .map(|peer| peer.load.kv_tokens)
+            .fold(0, u64::saturating_add);
+        self.own.kv_tokens.saturating_add(peer_total)
+    }
+
+    /// Returns the room for calls at the target, which has `engine`.
+    #[must_use]
+    pub fn room(&self, engine: Option<EngineSettings>, now_ms: u64) -> Room {
+        let (calls, kv_tokens) = (self.load(now_ms), self.kv_tokens(now_ms));
+        Room::new(engine, self.entry.slots.max(1), calls, kv_tokens)
     }
 
     /// Returns the prompt tokens that the target still has to process, including those that other
@@ -176,10 +200,10 @@
             .map(|load| {
                 let age_ms = now_ms.saturating_sub(load.updated_at_ms) as f64;
                 let processed_tokens = (age_ms * prefill_tokens_per_ms) as u64;
-                load.unread_tokens.saturating_sub(processed_tokens)
+                load.load.unread_tokens.saturating_sub(processed_tokens)
             })
             .sum();
-        self.unread_tokens + peer_total
+        self.own.unread_tokens + peer_total
     }
 
     fn recent_peer_loads(&self, now_ms: u64) -> impl Iterator<Item = &PeerLoad> {
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -86,9 +86,9 @@
         let is_restart = entry.started_at_unix_ms != known.entry.started_at_unix_ms;
         let starts_draining = entry.draining && !known.entry.draining;
         if is_restart {
-            let in_flight = known.in_flight;
+            let in_flight = known.own.in_flight;
             *known = TargetState::new(Rc::new(entry));
-            known.in_flight = in_flight;
+            known.own.in_flight = in_flight;
             return TargetChange::Started;
         }
         // A target that leaves does not come back in the same start, whatever an older record says.
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -27,6 +27,7 @@
     let request = ChoiceRequest {
         engine: call.service_settings().and_then(|service| service.engine),
         parts: &call.head.prompt_parts,
+        output_tokens: call.head.expected_output(),
         data_centre: &gateway.settings.data_centre,
         software_version: call.origin.as_ref().map(|origin| &origin.software_version),
         tried: &call.tried,
--- a/crates/toucan_gateway/src/serving/in_flight_call.rs
+++ b/crates/toucan_gateway/src/serving/in_flight_call.rs
@@ -43,6 +43,8 @@
     /// When progress of the answer next shows that the call does not end its target.
     sound_report_ms: u64,
     unread_tokens: u64,
+    /// Tokens in the KV cache of the target, with the output that is expected.
+    kv_tokens: u64,
     /// Prompt tokens that no other call shares, which the target has to process in any case.
     unshared_tokens: u64,
     /// Expected time to the first event at a target of usual pace; [`None`] if it cannot be told, because
@@ -61,6 +63,7 @@
         let parts = &call.head.prompt_parts;
         let mut unread_tokens = 0;
         let unshared_tokens = parts.last().map_or(0, |part| part.tokens);
+        let mut kv_tokens = 0;
         let mut expected_first_event_ms = None;
         let engine = call.service_settings().and_then(|service| service.engine);
         if let Some(target_state) = gateway.state.borrow_mut().targets.get_mut(&target.name) {
@@ -71,8 +74,10 @@
                     settings.first_event_ms(target_state, unread_tokens, 1.0, now_ms);
                 expected_first_event_ms = Some(first_event_ms);
             }
-            target_state.in_flight += 1;
-            target_state.unread_tokens += unread_tokens;
+            target_state.own.in_flight += 1;
+            target_state.own.unread_tokens += unread_tokens;
+            kv_tokens = unread_tokens + call.head.expected_output();
+            target_state.own.kv_tokens += kv_tokens;
             target_state.prompt_cache.record_sent(parts, now_ms);
         }
         Self {
@@ -82,6 +87,7 @@
             first_event_ms: None,
             sound_report_ms: u64::MAX,
             unread_tokens,
+            kv_tokens,
             unshared_tokens,
             expected_first_event_ms,
             expected_pause_ms: engine
@@ -188,7 +194,8 @@
             .targets
             .get_mut(&self.target.name)
         {
-            target_state.unread_tokens = target_state.unread_tokens.saturating_sub(unread_tokens);
+            target_state.own.unread_tokens =
+                target_state.own.unread_tokens.saturating_sub(unread_tokens);
         }
     }
 
@@ -219,6 +226,10 @@
 impl<P: Platform> Drop for InFlightCall<P> {
     fn drop(&mut self) {
         self.clear_unread_tokens();
+        let kv_tokens = self.kv_tokens;
+        self.with_target(|target| {
+            target.own.kv_tokens = target.own.kv_tokens.saturating_sub(kv_tokens);
+        });
         if let Some(target_state) = self
             .gateway
             .state
@@ -226,7 +237,7 @@
             .targets
             .get_mut(&self.target.name)
         {
-            target_state.in_flight = target_state.in_flight.saturating_sub(1);
+            target_state.own.in_flight = target_state.own.in_flight.saturating_sub(1);
         }
     }
 }
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -10,6 +10,7 @@
     peers::{
         Datagram, DatagramError, GatewayLocation, LoadReport, PeerMessage, TargetCalls, Transfers,
     },
+    placement::TargetLoad,
     state::GatewayState,
     streams::StreamOrigin,
 };
@@ -60,11 +61,12 @@
             .borrow_mut()
             .targets
             .iter_mut()
-            .filter(|target| target.in_flight > 0 || target.pace.has_untold())
+            .filter(|target| target.own.in_flight > 0 || target.pace.has_untold())
             .map(|target| TargetCalls {
                 target: target.entry.name.clone(),
-                in_flight: target.in_flight,
-                unread_tokens: target.unread_tokens,
+                in_flight: target.own.in_flight,
+                unread_tokens: target.own.unread_tokens,
+                kv_tokens: target.own.kv_tokens,
                 pace: target.pace.take_untold(),
                 pace_start: target.pace_start(),
             })
@@ -279,7 +281,12 @@
     state.targets.clear_peer_load(peer_start_id);
     for call in &report.calls {
         if let Some(target) = state.targets.get_mut(&call.target) {
-            target.set_peer_load(peer_start_id, call.in_flight, call.unread_tokens, now_ms);
+            let load = TargetLoad {
+                in_flight: call.in_flight,
+                unread_tokens: call.unread_tokens,
+                kv_tokens: call.kv_tokens,
+            };
+            target.set_peer_load(peer_start_id, load, now_ms);
             if call.pace_start == target.pace_start() {
                 target.pace.record_told(&call.pace, now_ms);
             }
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -66,6 +66,8 @@
     pub key: Option<String>,
     /// Declared token counts; [`None`] for calls to services without model engines.
     pub tokens: Option<TokenCounts>,
+    /// Output tokens that the caller expects; [`None`] if it does not say.
+    pub output_hint: Option<u64>,
     /// Parts of the prompt in order. The last one is specific to the call or its session.
     pub prompt_parts: Vec<PromptPart>,
     /// Where the caller resumes a stream; [`None`] if the call begins a new one.
@@ -86,6 +88,13 @@
         }
     }
 
+    /// Returns the output tokens to expect: those that the caller expects, or else the most it allows.
+    #[must_use]
+    pub fn expected_output(&self) -> u64 {
+        let max_output = self.tokens.map_or(0, |tokens| tokens.max_output);
+        self.output_hint.unwrap_or(max_output).min(max_output)
+    }
+
     /// Returns the parts of the prompt that other calls may have too, which are all but the last, up to
     /// `MAX_SHARED_PARTS`.
     #[must_use]
