--- a/crates/toucan_gateway/src/placement/prompt_cache_estimate.rs
+++ b/crates/toucan_gateway/src/placement/prompt_cache_estimate.rs
@@ -1,5 +1,7 @@
 //! Estimates which prompt parts a target has cached.
 
+use std::cmp::Reverse;
+
 use toucan_types::FastHashMap;
 
 use crate::wire_format::{PartId, PromptPart};
@@ -8,21 +10,42 @@
 const MAX_PARTS: usize = 2_048;
 /// Time since its last send after which a part counts as evicted.
 const EVICTION_MS: u64 = 60_000;
+/// Part of the limits that is left after an eviction, so that not each send leads to one.
+const KEPT_FRACTION: f64 = 0.875;
+
+/// A prompt part that was recently sent.
+#[derive(Clone, Copy, Debug)]
+struct SentPart {
+    sent_at_ms: u64,
+    /// Place in the prompt. Targets evict later parts first, since those before them are of no use alone.
+    place: usize,
+    tokens: u64,
+}
 
 /// The prompt parts recently sent to a target, with the time of the last send.
 #[derive(Clone, Debug, Default)]
 pub struct PromptCacheEstimate {
-    sent_at_ms: FastHashMap<PartId, u64>,
+    sent: FastHashMap<PartId, SentPart>,
+    total_tokens: u64,
 }
 
 impl PromptCacheEstimate {
-    /// Records that a call with these parts was sent.
-    pub fn record_sent(&mut self, parts: &[PromptPart], now_ms: u64) {
-        for part in parts {
-            self.sent_at_ms.insert(part.id, now_ms);
+    /// Records that a call with these parts was sent to a target whose KV cache has `capacity_tokens` beside
+    /// its running calls; [`None`] if its size is not known.
+    pub fn record_sent(&mut self, parts: &[PromptPart], capacity_tokens: Option<u64>, now_ms: u64) {
+        for (place, part) in parts.iter().enumerate() {
+            let sent = SentPart {
+                sent_at_ms: now_ms,
+                place,
+                tokens: part.tokens,
+            };
+            let known = self.sent.insert(part.id, sent);
+            self.total_tokens -= known.map_or(0, |known| known.tokens);
+            self.total_tokens += part.tokens;
         }
-        if self.sent_at_ms.len() > MAX_PARTS {
-            self.evict_oldest();
+        let capacity_tokens = capacity_tokens.unwrap_or(u64::MAX);
+        if self.sent.len() > MAX_PARTS || self.total_tokens > capacity_tokens {
+            self.evict_oldest(capacity_tokens);
         }
     }
 
@@ -46,17 +69,24 @@
     }
 
     fn is_cached(&self, id: PartId, now_ms: u64) -> bool {
-        self.sent_at_ms
+        self.sent
             .get(&id)
-            .is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < EVICTION_MS)
+            .is_some_and(|part| now_ms.saturating_sub(part.sent_at_ms) < EVICTION_MS)
     }
 
-    fn evict_oldest(&mut self) {
-        let mut times: Vec<u64> = self.sent_at_ms.values().copied().collect();
-        times.sort_unstable();
-        let Some(&median) = times.get(times.len() / 2) else {
-            return;
-        };
-        self.sent_at_ms.retain(|_id, at_ms| *at_ms > median);
+    /// Keeps the most recently used parts that are within the limits.
+    fn evict_oldest(&mut self, capacity_tokens: u64) {
+        let kept_parts = (MAX_PARTS as f64 * KEPT_FRACTION) as usize;
+        let kept_tokens = (capacity_tokens as f64 * KEPT_FRACTION) as u64;
+        let mut parts: Vec<(PartId, SentPart)> = self.sent.drain().collect();
+        parts.sort_unstable_by_key(|(_id, part)| (Reverse(part.sent_at_ms), part.place));
+        self.total_tokens = 0;
+        for (id, part) in parts.into_iter().take(kept_parts) {
+            if self.total_tokens.saturating_add(part.tokens) > kept_tokens {
+                break;
+            }
+            self.total_tokens += part.tokens;
+            self.sent.insert(id, part);
+        }
     }
 }
--- a/crates/toucan_gateway/src/serving/in_flight_call.rs
+++ b/crates/toucan_gateway/src/serving/in_flight_call.rs
@@ -78,7 +78,12 @@
             target_state.own.unread_tokens += unread_tokens;
             kv_tokens = unread_tokens + call.head.expected_output();
             target_state.own.kv_tokens += kv_tokens;
-            target_state.prompt_cache.record_sent(parts, now_ms);
+            let capacity = engine.and_then(|engine| engine.kv_capacity_tokens);
+            let cache_tokens =
+                capacity.map(|capacity| capacity.saturating_sub(target_state.kv_tokens(now_ms)));
+            target_state
+                .prompt_cache
+                .record_sent(parts, cache_tokens, now_ms);
         }
         Self {
             gateway,
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -7,7 +7,7 @@
     config::{EngineSettings, TargetEntry},
     placement::{
         CallOutcome, ChoiceRequest, ChoiceSettings, DeregistrationGrace, FailureHistory, Pause,
-        TargetChange, TargetLoad, TargetState, TargetTable, choose_target,
+        PromptCacheEstimate, TargetChange, TargetLoad, TargetState, TargetTable, choose_target,
     },
     wire_format::{PartId, PromptPart},
 };
@@ -117,7 +117,7 @@
         .map(|target| target.entry.name.clone())
         .expect("there are targets");
     let state = table.get_mut(&affinity_target).expect("it was chosen");
-    state.prompt_cache.record_sent(&parts, 0);
+    state.prompt_cache.record_sent(&parts, None, 0);
     let load = TargetLoad {
         in_flight: 40,
         unread_tokens: 400_000,
@@ -222,7 +222,7 @@
     let mut table = table(1);
     let name = TargetName::from("t0");
     let state = table.get_mut(&name).expect("it is registered");
-    state.prompt_cache.record_sent(&prompt(1), 0);
+    state.prompt_cache.record_sent(&prompt(1), None, 0);
     assert_eq!(table.register(entry("t0", 2), 0), TargetChange::Started);
     let state = table.get(&name).expect("it is registered");
     assert_eq!(state.prompt_cache.cached_tokens(&prompt(1), 0), 0);
@@ -381,7 +381,7 @@
         let target = target.expect("it is registered");
         if at == 0 {
             // What is cached makes the target the best but for its room.
-            target.prompt_cache.record_sent(&parts[..1], 0);
+            target.prompt_cache.record_sent(&parts[..1], None, 0);
             let load = TargetLoad {
                 in_flight,
                 unread_tokens: 0,
@@ -430,3 +430,27 @@
     assert_eq!(target.room(Some(ENGINE), 3_001).free_slots, 64);
     assert_eq!(target.kv_tokens(3_001), 0);
 }
+
+/// Guards against prompts that count as cached at a target whose KV cache cannot hold them all.
+#[test]
+fn least_recently_used_parts_leave_a_full_kv_cache() {
+    const CAPACITY_TOKENS: Option<u64> = Some(68_000);
+    let mut cache = PromptCacheEstimate::default();
+    for shared in 0..5 {
+        cache.record_sent(&prompt(shared), CAPACITY_TOKENS, shared);
+        // The first prompt is in use all the time.
+        cache.record_sent(&prompt(0), CAPACITY_TOKENS, shared);
+    }
+    let cached = |shared| cache.cached_tokens(&prompt(shared), 5);
+    assert_eq!(cached(0), 17_000);
+    assert_eq!(cached(1), 0);
+    assert_eq!(cached(4), 17_000);
+    let total: u64 = (0..5).map(cached).sum();
+    assert!(total <= 68_000, "{total}");
+    cache.record_sent(&prompt(9), Some(15_300), 6);
+    assert_eq!(
+        cache.cached_tokens(&prompt(9), 6),
+        13_300,
+        "running calls leave room for the first part only"
+    );
+}
--- a/crates/toucan_gateway/tests/pool_model/mod.rs
+++ b/crates/toucan_gateway/tests/pool_model/mod.rs
@@ -179,7 +179,8 @@
         state.own.in_flight += 1;
         state.own.unread_tokens += unread_tokens;
         state.own.kv_tokens += unread_tokens + output;
-        state.prompt_cache.record_sent(&parts, now_ms);
+        let cache_tokens = Some(KV_CAPACITY_TOKENS - state.kv_tokens(now_ms));
+        state.prompt_cache.record_sent(&parts, cache_tokens, now_ms);
         let engine = &mut self.engines[at];
         self.outcome.full += u32::from(engine.calls.len() >= SLOTS as usize);
         let is_cached = !engine.cached.insert(shared_id);
