--- a/crates/toucan_gateway/src/tasks/evacuation_records.rs
+++ b/crates/toucan_gateway/src/tasks/evacuation_records.rs
@@ -89,7 +89,7 @@
     let targets = state.targets.iter();
     let affected: Vec<u32> = targets
         .filter(|target| target.entry.data_centre == *name)
-        .map(|target| target.in_flight)
+        .map(|target| target.own.in_flight)
         .collect();
     gauge(name).set(1.0);
     log::info!(
