--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -7,7 +7,8 @@
     config::{EngineSettings, TargetEntry},
     placement::{
         CallOutcome, ChoiceRequest, ChoiceSettings, DeregistrationGrace, FailureHistory, Pause,
-        TargetChange, TargetScope, TargetState, TargetTable, choose_target,
+        PromptCacheEstimate, TargetChange, TargetLoad, TargetScope, TargetState, TargetTable,
+        choose_target,
     },
     wire_format::{PartId, PromptPart},
 };
@@ -15,6 +16,8 @@
 
 const ENGINE: EngineSettings = EngineSettings {
     tokens_per_event: 5,
+    slots: None,
+    kv_capacity_tokens: None,
 };
 
 fn entry(name: &str, started_at_unix_ms: u64) -> TargetEntry {
@@ -68,6 +71,7 @@
     let request = ChoiceRequest {
         engine: Some(ENGINE),
         parts,
+        output_tokens: 0,
         data_centre: &data_centre,
         software_version: None,
         scope: TargetScope::default(),
@@ -115,8 +119,14 @@
         .map(|target| target.entry.name.clone())
         .expect("there are targets");
     let state = table.get_mut(&affinity_target).expect("it was chosen");
-    state.prompt_cache.record_sent(&parts, 0);
-    state.set_peer_load(1, 40, 400_000, 0);
+    state.prompt_cache.record_sent(&parts, None, 0);
+    let load = TargetLoad {
+        in_flight: 40,
+        unread_tokens: 400_000,
+        kv_tokens: 0,
+        ..TargetLoad::default()
+    };
+    state.set_peer_load(1, load, 0);
     let next = choose(&table, &parts, &[], 1, 0).expect("there are targets");
     assert_ne!(next.entry.name, affinity_target);
     let later = choose(&table, &parts, &[], 1, 60_000).expect("there are targets");
@@ -218,7 +228,7 @@
     let mut table = table(1);
     let name = TargetName::from("t0");
     let state = table.get_mut(&name).expect("it is registered");
-    state.prompt_cache.record_sent(&prompt(1), 0);
+    state.prompt_cache.record_sent(&prompt(1), None, 0);
     assert_eq!(table.register(entry("t0", 2), 0), TargetChange::Started);
     let state = table.get(&name).expect("it is registered");
     assert_eq!(state.prompt_cache.cached_tokens(&prompt(1), 0), 0);
@@ -344,7 +354,13 @@
     // In a fleet of hundreds of gateways each one reports every few seconds, while an engine
     // processes a prompt in a fraction of a second. Without decay every prompt counts for seconds.
     for peer in 0..100 {
-        target.set_peer_load(peer, 1, 10_000, 1_000);
+        let load = TargetLoad {
+            in_flight: 1,
+            unread_tokens: 10_000,
+            kv_tokens: 0,
+            ..TargetLoad::default()
+        };
+        target.set_peer_load(peer, load, 1_000);
     }
     let unread_at = |now_ms| target.total_unread_tokens(PREFILL_TOKENS_PER_MS, now_ms);
     assert_eq!(unread_at(1_000), 1_000_000);
@@ -352,3 +368,99 @@
     assert_eq!(unread_at(1_200), 0);
     assert_eq!(target.load(1_200), 100, "the calls still run");
 }
+
+/// Guards against a call at a target that preempts another one for it, while it fits elsewhere.
+#[test_case(Some(1), None, 1, 0 => "t1"; "its slots are taken")]
+#[test_case(Some(2), None, 1, 0 => "t0"; "a slot is free")]
+#[test_case(None, Some(100_000), 1, 80_000 => "t1"; "its kv cache is full")]
+#[test_case(None, Some(200_000), 1, 80_000 => "t0"; "the kv cache has room")]
+#[test_case(None, None, 1, 80_000 => "t0"; "the configuration states neither")]
+fn call_goes_where_it_fits(
+    slots: Option<u32>,
+    kv_capacity_tokens: Option<u64>,
+    in_flight: u32,
+    kv_tokens: u64,
+) -> &'static str {
+    let mut table = table(2);
+    let parts = prompt(1);
+    for at in 0..2 {
+        let target = table.get_mut(&TargetName::from(format!("t{at}")));
+        let target = target.expect("it is registered");
+        if at == 0 {
+            // What is cached makes the target the best but for its room.
+            target.prompt_cache.record_sent(&parts[..1], None, 0);
+            let load = TargetLoad {
+                in_flight,
+                unread_tokens: 0,
+                kv_tokens,
+                ..TargetLoad::default()
+            };
+            target.set_peer_load(1, load, 0);
+        }
+    }
+    let engine = EngineSettings {
+        slots,
+        kv_capacity_tokens,
+        ..ENGINE
+    };
+    let request = ChoiceRequest {
+        engine: Some(engine),
+        parts: &parts,
+        output_tokens: 8_000,
+        data_centre: &DataCentreName::from("here"),
+        software_version: None,
+        scope: TargetScope::default(),
+        tried: &[],
+        denied: &[],
+        max_in_flight: 100,
+        tie_break_seed: 1,
+    };
+    let settings = ChoiceSettings::default();
+    let choice = choose_target(&request, service(), &table, &settings, 0);
+    let is_first = choice.is_some_and(|choice| choice.target.entry.name.as_str() == "t0");
+    if is_first { "t0" } else { "t1" }
+}
+
+/// Guards against a gateway that counts the calls of gateways that have died.
+#[test]
+fn room_is_free_again_after_its_gateways_have_died() {
+    let mut table = table(1);
+    let target = table.get_mut(&TargetName::from("t0"));
+    let target = target.expect("it is registered");
+    for peer in 0..30 {
+        let load = TargetLoad {
+            in_flight: 2,
+            unread_tokens: 0,
+            kv_tokens: 10_000,
+            ..TargetLoad::default()
+        };
+        target.set_peer_load(peer, load, 0);
+    }
+    assert_eq!(target.room(Some(ENGINE), 3_000).free_slots, 4);
+    assert_eq!(target.room(Some(ENGINE), 3_001).free_slots, 64);
+    assert_eq!(target.kv_tokens(3_001), 0);
+}
+
+/// Guards against prompts that count as cached at a target whose KV cache cannot hold them all.
+#[test]
+fn least_recently_used_parts_leave_a_full_kv_cache() {
+    const CAPACITY_TOKENS: Option<u64> = Some(68_000);
+    let mut cache = PromptCacheEstimate::default();
+    for shared in 0..5 {
+        cache.record_sent(&prompt(shared), CAPACITY_TOKENS, shared);
+        // The first prompt is in use all the time.
+        cache.record_sent(&prompt(0), CAPACITY_TOKENS, shared);
+    }
+    let cached = |shared| cache.cached_tokens(&prompt(shared), 5);
+    assert_eq!(cached(0), 17_000);
+    assert_eq!(cached(1), 0);
+    assert_eq!(cached(4), 17_000);
+    let total: u64 = (0..5).map(cached).sum();
+    assert!(total <= 68_000, "{total}");
+    cache.record_sent(&prompt(9), Some(15_300), 6);
+    assert_eq!(
+        cache.cached_tokens(&prompt(9), 6),
+        13_300,
+        "running calls leave room for the first part only"
+    );
+}
--- a/crates/toucan_gateway/tests/target_scope.rs
+++ b/crates/toucan_gateway/tests/target_scope.rs
@@ -142,8 +142,10 @@
         let request = ChoiceRequest {
             engine: Some(EngineSettings {
                 tokens_per_event: 5,
+                ..EngineSettings::default()
             }),
             parts: &[part(id, 13_300), part(!id, 3_700)],
+            output_tokens: 0,
             data_centre: &here,
             software_version: None,
             scope: TargetScope {
@@ -183,7 +185,11 @@
     let mut table = table(&TWO_REGIONS);
     for name in ["b0", "b1", "b2"] {
         let name = TargetName::from(name);
-        table.get_mut(&name).expect("it is registered").in_flight = 70;
+        table
+            .get_mut(&name)
+            .expect("it is registered")
+            .own
+            .in_flight = 70;
     }
     let regions = [("a", "north"), ("b", "north"), ("c", "south")];
     assert_eq!(prompts_at_b(&table, &regions), 0);
