Add up loads once for each choice, and name the wait at full engines

A choice went through the reports of the other gateways up to six times for each target. total_load adds them up once. The factor 10 for calls beyond an engine's slots becomes wait_ms_per_excess_call with the same value. A caller that declares an absurd number of output tokens no longer makes a target look full: at most 8,192 are expected.

--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -6,7 +6,7 @@
 
 use crate::{config::EngineSettings, wire_format::PromptPart};
 
-use super::{TargetState, TargetTable};
+use super::{Room, TargetState, TargetTable};
 
 /// Settings of [`choose_target`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,6 +22,9 @@
     /// Expected delay that each call adds to another at a target without an engine, once all slots
     /// are taken.
     pub delay_ms_per_slot: f64,
+    /// Expected wait at a full engine for each call beyond its slots, which is the time in which one of the
+    /// calls that it runs ends: a call of some seconds at an engine with tens of slots.
+    pub wait_ms_per_excess_call: f64,
     /// Penalty for a target that fails all its calls; it is scaled by the failure rate.
     pub failure_penalty_ms: f64,
     /// Penalty for a target where the call does not fit. Such a target rejects the call, lets it wait for
@@ -46,6 +49,7 @@
             step_ms_per_call: 1.0,
             delay_ms_per_call: 8.0,
             delay_ms_per_slot: 40.0,
+            wait_ms_per_excess_call: 80.0,
             failure_penalty_ms: 2_000.0,
             no_room_penalty_ms: 10_000.0,
             cross_data_centre_penalty_ms: 2.0,
@@ -182,30 +186,38 @@
     } else {
         settings.cross_data_centre_penalty_ms
     };
-    let load = f64::from(target.load(now_ms));
-    let slots = f64::from(target.entry.slots.max(1));
-    let room = target.room(request.engine, now_ms);
-    let uncached_tokens = target.prompt_cache.uncached_tokens(request.parts, now_ms);
-    let room_ms = if room.fits(uncached_tokens + request.output_tokens) {
+    let slowness = target.pace.slowness();
+    let tokens_per_ms = settings.prefill_tokens_per_ms / slowness;
+    let total = target.total_load(tokens_per_ms, now_ms);
+    let load = f64::from(total.in_flight);
+    let max_calls = target.entry.slots.max(1);
+    let slots = f64::from(max_calls);
+    let room = Room::new(request.engine, max_calls, total.in_flight, total.kv_tokens);
+    let prompt_tokens: u64 = request.parts.iter().map(|part| part.tokens).sum();
+    let cached_tokens = target.prompt_cache.cached_tokens(request.parts, now_ms);
+    let uncached_tokens = prompt_tokens.saturating_sub(cached_tokens);
+    let room_ms = if room.fits(uncached_tokens.saturating_add(request.output_tokens)) {
         0.0
     } else {
         settings.no_room_penalty_ms
     };
-    let unknown_calls = unknown_calls(request, target, now_ms);
+    let peer_calls = total.in_flight.saturating_sub(target.own.in_flight);
+    let unknown_calls = unknown_calls(request, target, peer_calls);
     let excess_calls = (load + 1.0 - slots).max(0.0);
     let processing_ms = if request.engine.is_some() {
-        let slowness = target.pace.slowness();
-        let tokens_per_ms = settings.prefill_tokens_per_ms / slowness;
-        let prefill_backlog_ms =
-            target.total_unread_tokens(tokens_per_ms, now_ms) as f64 / tokens_per_ms;
+        let prefill_backlog_ms = total.unread_tokens as f64 / tokens_per_ms;
         // Every target has to process the last part. At equal targets it makes no difference.
-        let unshared = request.parts.last().map_or(0, |part| part.tokens) as f64;
-        let own_ms = settings.min_first_event_ms + unshared / settings.prefill_tokens_per_ms;
-        let miss_ms = cache_miss_ms(request, target, is_affinity_target, settings, now_ms);
+        let unshared = request.parts.last().map_or(0, |part| part.tokens);
+        let own_ms = settings.min_first_event_ms + unshared as f64 / settings.prefill_tokens_per_ms;
+        let miss_ms = cache_miss_ms(
+            uncached_tokens.saturating_sub(unshared),
+            is_affinity_target && cached_tokens == 0,
+            settings,
+        );
         (load + unknown_calls) * settings.delay_ms_per_call * slowness
             + prefill_backlog_ms
             + miss_ms * slowness
-            + excess_calls * 10.0 * settings.delay_ms_per_call * slowness
+            + excess_calls * settings.wait_ms_per_excess_call * slowness
             + own_ms * (slowness - 1.0)
     } else {
         (load + unknown_calls) * settings.delay_ms_per_slot / slots
@@ -219,10 +231,12 @@
 ///
 /// All VMs choose from the same reports. Without the draw, all calls until the next reports go to the targets
 /// that seemed best in the last ones. Without calls of other VMs the deviation is 0.
-fn unknown_calls(request: &ChoiceRequest<'_>, target: &TargetState, now_ms: u64) -> f64 {
-    let peer_calls = f64::from(target.load(now_ms) - target.own.in_flight);
+fn unknown_calls(request: &ChoiceRequest<'_>, target: &TargetState, peer_calls: u32) -> f64 {
+    if peer_calls == 0 {
+        return 0.0;
+    }
     let draw = target_hash(request.tie_break_seed, &target.entry.name) as f64 / u64::MAX as f64;
-    (draw - 0.5) * UNKNOWN_CALLS_WIDTH * peer_calls.sqrt()
+    (draw - 0.5) * UNKNOWN_CALLS_WIDTH * f64::from(peer_calls).sqrt()
 }
 
 /// Range of the calls at a target that have begun or ended since the last reports, as a multiple of the square
@@ -233,18 +247,13 @@
 ///
 /// The last part belongs to the call or its session, so every target has to process it.
 fn cache_miss_ms(
-    request: &ChoiceRequest<'_>,
-    target: &TargetState,
-    is_affinity_target: bool,
+    uncached_shared_tokens: u64,
+    is_probably_cached: bool,
     settings: &ChoiceSettings,
-    now_ms: u64,
 ) -> f64 {
-    let total: u64 = request.parts.iter().map(|part| part.tokens).sum();
-    let unshared = request.parts.last().map_or(0, |part| part.tokens);
-    let cached = target.prompt_cache.cached_tokens(request.parts, now_ms);
-    let uncached_shared = total.saturating_sub(unshared).saturating_sub(cached) as f64;
-    let miss_ms = uncached_shared / settings.prefill_tokens_per_ms * settings.cache_miss_weight;
-    if is_affinity_target && cached == 0 {
+    let miss_ms =
+        uncached_shared_tokens as f64 / settings.prefill_tokens_per_ms * settings.cache_miss_weight;
+    if is_probably_cached {
         miss_ms * settings.affinity_miss_fraction
     } else {
         miss_ms
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -59,6 +59,15 @@
     updated_at_ms: u64,
 }
 
+impl PeerLoad {
+    /// Returns the prompt tokens that the target cannot have processed since the report.
+    fn unread_tokens(&self, prefill_tokens_per_ms: f64, now_ms: u64) -> u64 {
+        let age_ms = now_ms.saturating_sub(self.updated_at_ms) as f64;
+        let processed_tokens = (age_ms * prefill_tokens_per_ms) as u64;
+        self.load.unread_tokens.saturating_sub(processed_tokens)
+    }
+}
+
 /// Age after which another VM's report of its load is ignored.
 const PEER_LOAD_MAX_AGE_MS: u64 = 3_000;
 /// Number of reports above which old ones are removed.
@@ -174,6 +183,20 @@
         self.own.in_flight.saturating_add(peer_total)
     }
 
+    /// Returns the load of the calls of all VMs, of whose prompts the target has processed
+    /// `prefill_tokens_per_ms` since the last reports.
+    #[must_use]
+    pub fn total_load(&self, prefill_tokens_per_ms: f64, now_ms: u64) -> TargetLoad {
+        let mut total = self.own;
+        for peer in self.recent_peer_loads(now_ms) {
+            let unread_tokens = peer.unread_tokens(prefill_tokens_per_ms, now_ms);
+            total.in_flight = total.in_flight.saturating_add(peer.load.in_flight);
+            total.unread_tokens = total.unread_tokens.saturating_add(unread_tokens);
+            total.kv_tokens = total.kv_tokens.saturating_add(peer.load.kv_tokens);
+        }
+        total
+    }
+
     /// Returns the tokens in the KV cache for the calls in flight, including those that other VMs reported.
     #[must_use]
     pub fn kv_tokens(&self, now_ms: u64) -> u64 {
@@ -197,11 +220,7 @@
     pub fn total_unread_tokens(&self, prefill_tokens_per_ms: f64, now_ms: u64) -> u64 {
         let peer_total: u64 = self
             .recent_peer_loads(now_ms)
-            .map(|load| {
-                let age_ms = now_ms.saturating_sub(load.updated_at_ms) as f64;
-                let processed_tokens = (age_ms * prefill_tokens_per_ms) as u64;
-                load.load.unread_tokens.saturating_sub(processed_tokens)
-            })
+            .map(|peer| peer.unread_tokens(prefill_tokens_per_ms, now_ms))
             .sum();
         self.own.unread_tokens + peer_total
     }
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -17,6 +17,10 @@
 /// Maximum number of tokens of a prompt that targets are compared by.
 const MAX_PROMPT_TOKENS: u64 = 1 << 24;
 
+/// Maximum number of output tokens that are expected of one call. A caller must not be able to make a target
+/// look full by what it declares.
+const MAX_EXPECTED_OUTPUT_TOKENS: u64 = 1 << 13;
+
 /// Id of a part of a prompt, the same in every call that has the part.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
@@ -92,7 +96,8 @@
     #[must_use]
     pub fn expected_output(&self) -> u64 {
         let max_output = self.tokens.map_or(0, |tokens| tokens.max_output);
-        self.output_hint.unwrap_or(max_output).min(max_output)
+        let expected = self.output_hint.unwrap_or(max_output).min(max_output);
+        expected.min(MAX_EXPECTED_OUTPUT_TOKENS)
     }
 
     /// Returns the parts of the prompt that other calls may have too, which are all but the last, up to
