Give organisations fair shares while engines are behind

While engines were behind, one organisation at several times its usual load took the place of all others, which were refused as often as it was.

Gateways tell each other the tokens of work that organisations offer and that are admitted. While the chosen engine is behind, an organisation that asks for much more than its share, and has got it, is refused first.

--- a/crates/toucan_gateway/src/overload/shedding.rs
+++ b/crates/toucan_gateway/src/overload/shedding.rs
@@ -3,6 +3,8 @@
 /// Backlog above which a call is refused, as a fraction of its latency objective. The rest of the
 /// objective is for the call's own prompt.
 const MAX_BACKLOG_FRACTION: f64 = 0.85;
+/// Backlog above which organisations get no more than their shares, as a fraction of the latency objective.
+const FAIR_SHARE_BACKLOG_FRACTION: f64 = 0.4;
 /// Shortest time after which a refused call may be retried.
 const MIN_RETRY_AFTER_MS: u64 = 200;
 
@@ -30,3 +32,9 @@
     // takes to process it is likely to be refused again.
     Some((backlog_ms as u64).max(MIN_RETRY_AFTER_MS))
 }
+
+/// Returns whether an engine with this backlog is far enough behind that fair shares apply.
+#[must_use]
+pub fn are_targets_behind(backlog_ms: f64, latency_objective_ms: u64) -> bool {
+    backlog_ms > latency_objective_ms as f64 * FAIR_SHARE_BACKLOG_FRACTION
+}
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -2,7 +2,7 @@
 
 use toucan_types::TargetName;
 
-use crate::overload::{ReliefPhase, UrgencyTokens};
+use crate::overload::{OrganisationWork, ReliefPhase, UrgencyTokens};
 
 /// The load of one gateway.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -13,6 +13,8 @@
     pub utilisation_permille: u32,
     /// How far it is in moving callers to others of its data centre.
     pub relief: ReliefPhase,
+    /// Work of organisations.
+    pub work: Vec<OrganisationWork>,
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -5,7 +5,7 @@
 use crate::{
     Gateway, Platform, Refusal,
     config::TargetEntry,
-    overload::overload_retry_after_ms,
+    overload::{are_targets_behind, overload_retry_after_ms},
     placement::{Choice, ChoiceRequest, ChoiceSettings, Pause, TargetTable, choose_target},
     retries::{CallProgress, connection_share},
 };
@@ -39,6 +39,11 @@
         entry: Rc::clone(&chosen.target.entry),
         max_connections,
         expected_ms: chosen.first_event_ms as u64,
+        is_behind: request.engine.is_some()
+            && are_targets_behind(
+                backlog_before_ms(&chosen, call, &settings, now_ms),
+                call.route.latency_objective_ms,
+            ),
         own_work_ms: chosen.first_event_ms - chosen.backlog_ms,
         overload_ms: request.engine.and_then(|_engine| {
             overload_retry_after_ms(
@@ -67,6 +72,27 @@
     chosen.backlog_ms - later_tokens as f64 / prefill_tokens_per_ms
 }
 
+/// Counts a call that is sent for the first time towards the work of its organisation; returns whether it
+/// exceeds the organisation's share while targets are behind.
+pub(crate) fn exceeds_fair_share<P: Platform>(
+    gateway: &Gateway<P>,
+    call: &Call,
+    chosen: &ChosenTarget,
+    now_ms: u64,
+) -> bool {
+    let (Some(organisation), Some(counts)) = (&call.organisation, call.head.tokens) else {
+        return false;
+    };
+    let tokens = counts.max_total().0;
+    let shares = &mut gateway.state.borrow_mut().fair_shares;
+    shares.record_offered(&organisation.name, tokens, now_ms);
+    let exceeds = chosen.is_behind && shares.exceeds_share(&organisation.name, now_ms);
+    if !exceeds && chosen.overload_ms.is_none() {
+        shares.record_admitted(&organisation.name, tokens, now_ms);
+    }
+    exceeds
+}
+
 /// Returns when the caller of a call that is refused because the engines are behind may return.
 pub(crate) fn schedule_return<P: Platform>(
     gateway: &Gateway<P>,
@@ -95,6 +121,8 @@
     pub(crate) max_connections: u32,
     /// Expected time to the first event.
     pub(crate) expected_ms: u64,
+    /// Whether the target is far enough behind that organisations get no more than their shares.
+    pub(crate) is_behind: bool,
     /// Part of that time that the call itself takes.
     pub(crate) own_work_ms: f64,
     /// Time in which the target processes its backlog, if that is too long.
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -14,13 +14,15 @@
     config::{RouteKind, TargetEntry},
     placement::CallOutcome,
     poison::join_fingerprints,
-    retries::{NextStep, SendFailure, next_step},
+    retries::{CallProgress, NextStep, SendFailure, next_step},
     streams::StreamOrigin,
 };
 
 use super::{
     call::{Call, CallTracker},
-    choose::{ChosenTarget, choose_for_call, refusal_without_target, schedule_return},
+    choose::{
+        ChosenTarget, choose_for_call, exceeds_fair_share, refusal_without_target, schedule_return,
+    },
     collect_body::CollectError,
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
     in_flight_call::InFlightCall,
@@ -86,6 +88,15 @@
             return Err((refusal_without_target(gateway, call), "no target is left"));
         };
         tracker.log.expected_ms = chosen.expected_ms;
+        let is_first = call.progress == CallProgress::default() && call.denied.is_empty();
+        if is_first && exceeds_fair_share(gateway, call, &chosen, now_ms) {
+            let overload_ms = chosen.expected_ms;
+            let return_ms = schedule_return(gateway, call, &chosen, overload_ms, now_ms);
+            return Err((
+                Refusal::Overloaded { return_ms },
+                "the organisation has more than its share while engines are behind",
+            ));
+        }
         if let Some(overload_ms) = chosen.overload_ms
             && call.progress.sends == 0
         {
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -9,7 +9,7 @@
     budget::{RestoreGate, Wallet},
     config::FleetConfig,
     limits::{CallRate, PermitGrant, PermitGranter},
-    overload::{CallAdmission, Relief, ReturnSchedule},
+    overload::{CallAdmission, FairShares, Relief, ReturnSchedule},
     peers::{GatewayLocation, Members},
     placement::TargetTable,
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
@@ -69,6 +69,8 @@
     pub(crate) admission: CallAdmission,
     /// Whether callers are moved to other gateways; [`None`] before the first load message.
     pub(crate) relief: Option<Relief>,
+    /// Work of organisations, for their shares while targets are behind.
+    pub(crate) fair_shares: FairShares,
     /// When refused callers of each service return.
     pub(crate) return_schedules: FastHashMap<ServiceName, ReturnSchedule>,
     /// Retry budget of each service.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -81,6 +81,7 @@
             calls,
             utilisation_permille,
             relief,
+            work: gateway.state.borrow_mut().fair_shares.report(now_ms),
         });
         gateway.send_to_peers(vms.iter(), message);
         let recovery = gateway.state.borrow().restore_gate.to_tell();
@@ -186,6 +187,8 @@
                 });
             }
             record_peer_load(gateway, datagram.start, &report, now_ms);
+            let shares = &mut gateway.state.borrow_mut().fair_shares;
+            shares.apply_report(datagram.start, report.work, now_ms);
         }
         PeerMessage::AskLoan { lender_start, .. } if lender_start != gateway.start_id() => {
             log::debug!(target: "budget", vm = datagram.vm.as_str(); "a loan request to a former process of this VM was ignored");
