--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -26,7 +26,7 @@
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
     poison::PoisonTable,
     serving::{ConnectionPool, http_listener::ListenerState},
-    settings::{Bounds, GatewaySettings},
+    settings::{Bounds, GatewaySettings, VmResources},
     socket_options::SlowPeerOptions,
     state::GatewayState,
     streams::{OriginLookups, StreamOrigin},
@@ -80,9 +80,18 @@
             .features
             .slow_readers
             .then_some(SlowPeerOptions::TARGET);
+        // Where callers and targets may read slowly, the memory of calls is counted where it is held.
+        let counted_memory_bytes = settings
+            .resources
+            .memory_bytes
+            .filter(|_bytes| !settings.features.slow_readers);
+        let admission_resources = VmResources {
+            memory_bytes: counted_memory_bytes,
+            ..settings.resources
+        };
         let state = GatewayState {
             poison: PoisonTable::new(start_id),
-            admission: CallAdmission::new(settings.resources),
+            admission: CallAdmission::new(admission_resources),
             ..GatewayState::default()
         };
         Self {
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -3,7 +3,7 @@
 use toucan_types::TargetName;
 
 use crate::{
-    overload::{ReliefPhase, UrgencyTokens},
+    overload::{OrganisationWork, ReliefPhase, UrgencyTokens},
     placement::PaceReport,
 };
 
@@ -16,6 +16,8 @@
     pub utilisation_permille: u32,
     /// How far it is in moving callers to others of its data centre.
     pub relief: ReliefPhase,
+    /// Work of organisations.
+    pub work: Vec<OrganisationWork>,
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -15,14 +15,15 @@
     config::{RouteKind, TargetEntry},
     placement::CallOutcome,
     poison::join_fingerprints,
-    retries::{NextStep, SendFailure, next_step},
+    retries::{CallProgress, NextStep, SendFailure, next_step},
     streams::StreamOrigin,
 };
 
 use super::{
     call::{Call, CallTracker},
     choose::{
-        ChosenTarget, choose_for_call, is_still_eligible, refusal_without_target, schedule_return,
+        ChosenTarget, choose_for_call, exceeds_fair_share, is_still_eligible,
+        refusal_without_target, schedule_return,
     },
     collect_body::{CollectError, collect_body},
     exchange::{Exchange, OpenResponse, TargetNotice, remove_connection_headers, send_request},
@@ -91,6 +92,15 @@
             return Err((refusal_without_target(gateway, call), "no target is left"));
         };
         tracker.log.expected_ms = chosen.expected_ms;
+        let is_first = call.progress == CallProgress::default() && call.denied.is_empty();
+        if is_first && exceeds_fair_share(gateway, call, &chosen, now_ms) {
+            let overload_ms = chosen.expected_ms;
+            let return_ms = schedule_return(gateway, call, &chosen, overload_ms, now_ms);
+            return Err((
+                Refusal::Overloaded { return_ms },
+                "the organisation has more than its share while engines are behind",
+            ));
+        }
         if let Some(overload_ms) = chosen.overload_ms
             && call.progress.sends == 0
         {
