Take back the learned pace of targets, and shorten load messages

Change: the pace is gone from code and messages; tokens by urgency are sent only where there are any.

--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -67,8 +67,6 @@
                 "load": target.load(now_ms),
                 "free_slots": target.room(engine_of(target), now_ms).free_slots,
                 "free_kv_tokens": target.room(engine_of(target), now_ms).free_kv_tokens,
-                "slowness": target.pace.slowness(),
-                "pace_confidence": target.pace.confidence(now_ms),
                 "failed_part": target.failures.failure_rate(),
                 "is_paused": target.failures.is_in_backoff(now_ms),
             })
--- a/crates/toucan_gateway/src/overload/mod.rs
+++ b/crates/toucan_gateway/src/overload/mod.rs
@@ -21,5 +21,5 @@
 pub use relief_phase::ReliefPhase;
 pub use return_schedule::ReturnSchedule;
 pub use shedding::{are_targets_behind, overload_retry_after_ms};
-pub use urgency_tokens::UrgencyTokens;
+pub use urgency_tokens::{ToldUrgencyTokens, UrgencyTokens};
 pub use utilisation_report::UtilisationReport;
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -2,10 +2,7 @@
 
 use toucan_types::TargetName;
 
-use crate::{
-    overload::{OrganisationWork, ReliefPhase, UrgencyTokens},
-    placement::PaceReport,
-};
+use crate::overload::{OrganisationWork, ReliefPhase, ToldUrgencyTokens};
 
 /// The load of one gateway.
 #[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -30,11 +27,7 @@
     /// Prompt tokens of those calls that the target still has to process.
     pub unread_tokens: u64,
     /// The same by the urgency of the calls.
-    pub unread_by_urgency: UrgencyTokens,
+    pub unread_by_urgency: ToldUrgencyTokens,
     /// Tokens of those calls in the target's KV cache, with the output that is expected.
     pub kv_tokens: u64,
-    /// Samples of the target's pace since the last report.
-    pub pace: PaceReport,
-    /// Lowest bits of the Unix time of the target's start that the samples are of, in milliseconds.
-    pub pace_start: u16,
 }
--- a/crates/toucan_gateway/src/placement/choice.rs
+++ b/crates/toucan_gateway/src/placement/choice.rs
@@ -62,29 +62,6 @@
     }
 }
 
-impl ChoiceSettings {
-    /// Returns the expected time to the first event at a target that takes `slowness` times the usual time
-    /// and has to process `uncached_tokens` of the call's prompt.
-    #[must_use]
-    pub fn first_event_ms(
-        &self,
-        target: &TargetState,
-        uncached_tokens: u64,
-        slowness: f64,
-        now_ms: u64,
-    ) -> f64 {
-        let prefill_ms = uncached_tokens as f64 / self.prefill_tokens_per_ms * slowness;
-        self.min_first_event_ms + self.backlog_ms(target, slowness, now_ms) + prefill_ms
-    }
-
-    /// Returns the part of that time that is due to earlier calls.
-    fn backlog_ms(&self, target: &TargetState, slowness: f64, now_ms: u64) -> f64 {
-        let tokens_per_ms = self.prefill_tokens_per_ms / slowness;
-        f64::from(target.load(now_ms)) * self.step_ms_per_call * slowness
-            + target.total_unread_tokens(tokens_per_ms, now_ms) as f64 / tokens_per_ms
-    }
-}
-
 /// The chosen target, with what is expected of it.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice<'a> {
@@ -176,12 +153,15 @@
     settings: &ChoiceSettings,
     now_ms: u64,
 ) -> Choice<'a> {
-    let slowness = target.pace.slowness();
     let uncached_tokens = target.prompt_cache.uncached_tokens(request.parts, now_ms);
+    let prefill_ms = uncached_tokens as f64 / settings.prefill_tokens_per_ms;
+    let backlog_ms = f64::from(target.load(now_ms)) * settings.step_ms_per_call
+        + target.total_unread_tokens(settings.prefill_tokens_per_ms, now_ms) as f64
+            / settings.prefill_tokens_per_ms;
     Choice {
         target,
-        first_event_ms: settings.first_event_ms(target, uncached_tokens, slowness, now_ms),
-        backlog_ms: settings.backlog_ms(target, slowness, now_ms),
+        first_event_ms: settings.min_first_event_ms + backlog_ms + prefill_ms,
+        backlog_ms,
     }
 }
 
@@ -201,9 +181,7 @@
     } else {
         settings.cross_data_centre_penalty_ms
     };
-    let slowness = target.pace.slowness();
-    let tokens_per_ms = settings.prefill_tokens_per_ms / slowness;
-    let total = target.total_load(tokens_per_ms, now_ms);
+    let total = target.total_load(settings.prefill_tokens_per_ms, now_ms);
     let load = f64::from(total.in_flight);
     let max_calls = target.entry.slots.max(1);
     let slots = f64::from(max_calls);
@@ -220,20 +198,18 @@
     let unknown_calls = unknown_calls(request, target, peer_calls);
     let excess_calls = (load + 1.0 - slots).max(0.0);
     let processing_ms = if request.engine.is_some() {
-        let prefill_backlog_ms = total.unread_tokens as f64 / tokens_per_ms;
-        // Every target has to process the last part. At equal targets it makes no difference.
+        let prefill_backlog_ms = total.unread_tokens as f64 / settings.prefill_tokens_per_ms;
+        // Every target has to process the last part.
         let unshared = request.parts.last().map_or(0, |part| part.tokens);
-        let own_ms = settings.min_first_event_ms + unshared as f64 / settings.prefill_tokens_per_ms;
         let miss_ms = cache_miss_ms(
             uncached_tokens.saturating_sub(unshared),
             is_affinity_target && cached_tokens == 0,
             settings,
         );
-        (load + unknown_calls) * settings.delay_ms_per_call * slowness
+        (load + unknown_calls) * settings.delay_ms_per_call
             + prefill_backlog_ms
-            + miss_ms * slowness
-            + excess_calls * settings.wait_ms_per_excess_call * slowness
-            + own_ms * (slowness - 1.0)
+            + miss_ms
+            + excess_calls * settings.wait_ms_per_excess_call
     } else {
         (load + unknown_calls) * settings.delay_ms_per_slot / slots
             + excess_calls * settings.delay_ms_per_slot
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -10,7 +10,7 @@
     overload::UrgencyTokens,
 };
 
-use super::{FailureHistory, PromptCacheEstimate, Room, TargetPace};
+use super::{FailureHistory, PromptCacheEstimate, Room};
 
 /// The state of a target as seen by this VM.
 #[derive(Clone, Debug)]
@@ -23,8 +23,6 @@
     pub failures: FailureHistory,
     /// Estimate of the prompt parts that the target has cached.
     pub prompt_cache: PromptCacheEstimate,
-    /// How fast the target is.
-    pub pace: TargetPace,
     /// Whether the target has stated that it is leaving.
     pub is_leaving: bool,
     /// Whether another process answers at the target's address. The registration is then of a target that
@@ -88,7 +86,6 @@
             own: TargetLoad::default(),
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
-            pace: TargetPace::default(),
             is_leaving: false,
             is_replaced: false,
             throttled_until_ms: 0,
@@ -100,13 +97,6 @@
         }
     }
 
-    /// Returns the lowest bits of the time of the target's start. They tell samples of its pace from those of
-    /// an earlier start under the same name.
-    #[must_use]
-    pub fn pace_start(&self) -> u16 {
-        (self.entry.started_at_unix_ms & u64::from(u16::MAX)) as u16
-    }
-
     /// Returns whether the registration ended and its grace period is over.
     #[must_use]
     pub fn is_expired(&self, now_ms: u64) -> bool {
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -6,7 +6,7 @@
 
 use crate::{config::TargetEntry, limits::LimitRecord};
 
-use super::{CallOutcome, Exclusion, Reachability, ServicePace, TargetScope, TargetState};
+use super::{CallOutcome, Exclusion, Reachability, TargetScope, TargetState};
 
 /// Longest time for which a target can throttle a VM. A wrong value must not take a target out for good.
 const MAX_THROTTLE: Duration = Duration::from_mins(10);
@@ -18,9 +18,6 @@
 /// Shortest pause of a target that has granted no permit for a call.
 const MIN_DENIED_PAUSE_MS: u64 = 50;
 
-/// Shortest time between two comparisons of the targets' pace.
-const PACE_INTERVAL_MS: u64 = 100;
-
 /// Time for which a target takes no calls of this VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Pause {
@@ -46,7 +43,6 @@
 pub struct TargetTable {
     by_name: FastHashMap<TargetName, TargetState>,
     reachability: FastHashMap<DataCentreName, Reachability>,
-    paces_compared_at_ms: u64,
 }
 
 /// Which backoffs the outcome of a call started or extended.
@@ -318,29 +314,6 @@
         }
     }
 
-    /// Compares the pace of each target to that of its service, if this was not done just before.
-    pub fn compare_paces(&mut self, now_ms: u64) {
-        if now_ms.saturating_sub(self.paces_compared_at_ms) < PACE_INTERVAL_MS {
-            return;
-        }
-        self.paces_compared_at_ms = now_ms;
-        let mut services: FastHashMap<ServiceName, ServicePace> = FastHashMap::default();
-        for target in self.by_name.values() {
-            let service = services.entry(target.entry.service.clone()).or_default();
-            service.add(&target.pace, now_ms);
-        }
-        for target in self.by_name.values_mut() {
-            if let Some(service) = services.get(&target.entry.service) {
-                target.pace.compare(service, now_ms);
-            }
-        }
-    }
-
-    /// Returns all targets for changes to their state.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut TargetState> {
-        self.by_name.values_mut()
-    }
-
     /// Returns all targets.
     pub fn iter(&self) -> impl Iterator<Item = &TargetState> {
         self.by_name.values()
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -99,7 +99,7 @@
     settings: &ChoiceSettings,
     now_ms: u64,
 ) -> f64 {
-    let prefill_tokens_per_ms = settings.prefill_tokens_per_ms / chosen.target.pace.slowness();
+    let prefill_tokens_per_ms = settings.prefill_tokens_per_ms;
     let later_tokens =
         chosen
             .target
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -60,9 +60,8 @@
                             begin_stream(&gateway, &mut call, &source.origin);
                         }
                         tracker.log.record_progress(&splitter);
-                        source.in_flight_call.record_progress(&call, splitter.events());
+                        source.in_flight_call.record_progress(&call);
                         yield relayed(&splitter, complete_events);
-                        source.in_flight_call.record_passed_on();
                     }
                 if splitter.partial_event_bytes() > MAX_EVENT_BYTES {
                     log::warn!(target: "call", id = call.id.as_str(), name = source.in_flight_call.target().as_str(); "an event is larger than allowed, the connection is closed");
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -59,26 +59,18 @@
         tokio::time::sleep(Duration::from_millis(interval_ms)).await;
         let calls: Vec<TargetCalls> = gateway
             .state
-            .borrow_mut()
+            .borrow()
             .targets
-            .iter_mut()
-            .filter(|target| target.own.in_flight > 0 || target.pace.has_untold())
+            .iter()
+            .filter(|target| target.own.in_flight > 0)
             .map(|target| TargetCalls {
                 target: target.entry.name.clone(),
                 in_flight: target.own.in_flight,
                 unread_tokens: target.own.unread_tokens,
                 kv_tokens: target.own.kv_tokens,
-                pace: target.pace.take_untold(),
-                pace_start: target.pace_start(),
-                unread_by_urgency: target.own.unread_by_urgency,
+                unread_by_urgency: target.own.unread_by_urgency.into(),
             })
             .collect();
-        let compare_at_ms = gateway.now_ms();
-        gateway
-            .state
-            .borrow_mut()
-            .targets
-            .compare_paces(compare_at_ms);
         let vms: Vec<VmName> = gateway
             .state
             .borrow()
@@ -340,14 +332,10 @@
             let load = TargetLoad {
                 in_flight: call.in_flight,
                 unread_tokens: call.unread_tokens,
-                unread_by_urgency: call.unread_by_urgency,
+                unread_by_urgency: (&call.unread_by_urgency).into(),
                 kv_tokens: call.kv_tokens,
             };
             target.set_peer_load(peer_start_id, load, now_ms);
-            if call.pace_start == target.pace_start() {
-                target.pace.record_told(&call.pace, now_ms);
-            }
         }
     }
-    state.targets.compare_paces(now_ms);
 }
