--- a/crates/toucan_gateway/src/overload/fair_shares.rs
+++ b/crates/toucan_gateway/src/overload/fair_shares.rs
@@ -12,7 +12,7 @@
 /// than they process.
 const CAPACITY_FRACTION: f64 = 0.9;
 /// Age above which the report of another gateway is ignored.
-const MAX_REPORT_AGE_MS: u64 = 3_000;
+const MAX_REPORT_AGE_MS: u64 = 5_000;
 /// Number of organisations that are reported to other gateways, those with the most work first.
 const MAX_REPORTED: usize = 64;
 /// Work below which an organisation is forgotten.
--- a/crates/toucan_gateway/src/peers/load_report.rs
+++ b/crates/toucan_gateway/src/peers/load_report.rs
@@ -13,8 +13,8 @@
     pub utilisation_permille: u32,
     /// How far it is in moving callers to others of its data centre.
     pub relief: ReliefPhase,
-    /// Work of organisations.
-    pub work: Vec<OrganisationWork>,
+    /// Work of organisations; [`None`] if the last report of it still holds.
+    pub work: Option<Vec<OrganisationWork>>,
 }
 
 /// The calls of one gateway at one target.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -24,6 +24,9 @@
 const MIN_LOAD_INTERVAL_MS: u64 = 250;
 /// Time by which the interval grows per gateway, to bound the number of datagrams per second.
 const LOAD_INTERVAL_PER_GATEWAY_MS: u64 = 10;
+/// Time between two reports of the work of organisations. They are as large as the rest of a load message, and
+/// cover several seconds.
+const WORK_INTERVAL_MS: u64 = 2_000;
 /// Time without calls of an organisation after which a gateway that is no holder gives its tokens
 /// back.
 const IDLE_BEFORE_TRANSFER_MS: u64 = 1_000;
@@ -51,6 +54,7 @@
 
 /// Sends the load of this gateway on each target to the other gateways until the process ends.
 pub(crate) async fn broadcast_load<P: Platform>(gateway: Rc<Gateway<P>>) {
+    let mut work_told_at_ms = 0;
     loop {
         let now_ms = gateway.now_ms();
         gateway.state.borrow_mut().observe_members(now_ms);
@@ -79,11 +83,16 @@
             .map(|(vm, _member)| vm.clone())
             .collect();
         let (utilisation_permille, relief) = update_relief(&gateway);
+        let tells_work = now_ms.saturating_sub(work_told_at_ms) >= WORK_INTERVAL_MS;
+        if tells_work {
+            work_told_at_ms = now_ms;
+        }
+        let work = tells_work.then(|| gateway.state.borrow_mut().fair_shares.report(now_ms));
         let message = PeerMessage::Load(LoadReport {
             calls,
             utilisation_permille,
             relief,
-            work: gateway.state.borrow_mut().fair_shares.report(now_ms),
+            work,
         });
         gateway.send_to_peers(vms.iter(), message);
         let recovery = gateway.state.borrow().restore_gate.to_tell();
@@ -192,7 +201,9 @@
             }
             record_peer_load(gateway, datagram.start, &report, now_ms);
             let shares = &mut gateway.state.borrow_mut().fair_shares;
-            shares.apply_report(datagram.start, report.work, now_ms);
+            if let Some(work) = report.work {
+                shares.apply_report(datagram.start, work, now_ms);
+            }
         }
         PeerMessage::AskLoan { lender_start, .. } if lender_start != gateway.start_id() => {
             log::debug!(target: "budget", vm = datagram.vm.as_str(); "a loan request to a former process of this VM was ignored");
