--- a/crates/toucan_gateway/src/buffers/byte_accounts.rs
+++ b/crates/toucan_gateway/src/buffers/byte_accounts.rs
@@ -9,7 +9,7 @@
 const RATE_WINDOW_MS: u64 = 1_000;
 /// Shortest and longest time after which a refused call is asked to return.
 const RETURN_RANGE_MS: (u64, u64) = (200, 5_000);
-/// The same time if nothing has been released lately.
+/// Time after which a refused call is asked to return if nothing has been released lately.
 const UNKNOWN_RETURN_MS: u64 = 1_000;
 
 /// the bytes are not free: {0}
@@ -36,9 +36,9 @@
     by_kind: [u64; BufferKind::ALL.len()],
     by_organisation: FastHashMap<OrganisationName, [u64; BufferKind::ALL.len()]>,
     released_bytes: u64,
-    /// Bytes released up to the begin of the window in which their rate is measured.
+    /// Bytes released before the current window, in which their rate is measured.
     window: ReleaseMark,
-    /// The same for the window before.
+    /// Bytes released before the previous window.
     previous_window: ReleaseMark,
 }
 
--- a/crates/toucan_gateway/src/buffers/byte_limits.rs
+++ b/crates/toucan_gateway/src/buffers/byte_limits.rs
@@ -37,7 +37,7 @@
     pub answer_bytes: u64,
     /// Maximum of the events that are read ahead, for one organisation.
     pub organisation_read_ahead_bytes: u64,
-    /// Maximum of each other kind that is held for one organisation.
+    /// Maximum of the request bodies of one organisation, and again of its whole answers.
     pub organisation_bytes: u64,
     /// Maximum of the answers that are read to their end before they are sent.
     pub whole_answer_bytes: u64,
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -14,7 +14,8 @@
 /// Maximum size of the head of a response, and of what is read ahead of its body.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// The same for a peer that may read slowly, for which memory is counted.
+/// Maximum size of a head and of what is read ahead, for a peer that may read slowly and whose memory is
+/// counted.
 const MAX_SLOW_HEAD_BYTES: usize = 16 * 1024;
 
 /// a connection cannot be set up: {0}
--- a/crates/toucan_gateway/src/overload/fair_shares.rs
+++ b/crates/toucan_gateway/src/overload/fair_shares.rs
@@ -25,6 +25,19 @@
     admitted_tokens: f64,
 }
 
+/// Work that another gateway reported.
+#[derive(Clone, Debug)]
+struct Report {
+    received_at_ms: u64,
+    work: Vec<OrganisationWork>,
+}
+
+impl Report {
+    fn is_recent(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.received_at_ms) <= MAX_REPORT_AGE_MS
+    }
+}
+
 /// Work of all organisations, here and at other gateways.
 ///
 /// All organisations have the same weight. What some do not use is for the others.
@@ -32,7 +45,8 @@
 pub struct FairShares {
     local: FastHashMap<OrganisationName, Work>,
     updated_at_ms: u64,
-    reports: FastHashMap<u64, (u64, Vec<OrganisationWork>)>,
+    /// Last report of each other gateway, by the random identifier of its process's start.
+    reports: FastHashMap<u64, Report>,
 }
 
 impl FairShares {
@@ -52,10 +66,13 @@
 
     /// Applies the report of another gateway, by the random identifier of its process's start.
     pub fn apply_report(&mut self, gateway: u64, work: Vec<OrganisationWork>, now_ms: u64) {
-        let is_recent = |received_ms: u64| now_ms.saturating_sub(received_ms) <= MAX_REPORT_AGE_MS;
         self.reports
-            .retain(|_gateway, (received_ms, _work)| is_recent(*received_ms));
-        self.reports.insert(gateway, (now_ms, work));
+            .retain(|_gateway, report| report.is_recent(now_ms));
+        let report = Report {
+            received_at_ms: now_ms,
+            work,
+        };
+        self.reports.insert(gateway, report);
     }
 
     /// Returns the work at this gateway for a report to the others.
@@ -96,10 +113,9 @@
         for (organisation, work) in &self.local {
             totals.insert(organisation, *work);
         }
-        let recent = self.reports.values().filter(|(received_ms, _work)| {
-            now_ms.saturating_sub(*received_ms) <= MAX_REPORT_AGE_MS
-        });
-        for work in recent.flat_map(|(_received_ms, work)| work) {
+        let reports = self.reports.values();
+        let recent = reports.filter(|report| report.is_recent(now_ms));
+        for work in recent.flat_map(|report| &report.work) {
             let total = totals.entry(&work.organisation).or_default();
             total.offered_tokens += work.offered_tokens as f64;
             total.admitted_tokens += work.admitted_tokens as f64;
--- a/crates/toucan_gateway/src/overload/link_monitor.rs
+++ b/crates/toucan_gateway/src/overload/link_monitor.rs
@@ -22,7 +22,7 @@
 const SLOW_PER_QUICK: usize = 3;
 /// Consecutive timeouts of one target at which the target is at fault nevertheless, if another target
 /// answers in the meantime.
-const MAX_EXCUSED_TIMEOUTS: u32 = 2;
+const TIMEOUTS_TO_BLAME: u32 = 2;
 
 /// What the latest contact with a target shows about the link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,7 +94,7 @@
         } = *contact;
         self.update(Some(target), now_ms);
         self.is_local_fault
-            && (timeouts < MAX_EXCUSED_TIMEOUTS || !self.any_heard_since(silent_since_ms))
+            && (timeouts < TIMEOUTS_TO_BLAME || !self.any_heard_since(silent_since_ms))
     }
 
     /// Records a response whose head arrived at `now_ms`, `took_ms` after the call was sent.
@@ -171,7 +171,8 @@
             .any(|contact| contact.timeouts == 0 && contact.at_ms >= since_ms)
     }
 
-    /// Decides anew. The failure of a connect to `target`, if any, has not been recorded for it yet.
+    /// Decides anew. `target` is left out of what is taken back: the result of its connect tells the caller of this
+    /// method whether it counts.
     fn update(&mut self, target: Option<&TargetName>, now_ms: u64) {
         let is_local_fault = self.shows_local_fault(now_ms);
         if is_local_fault && !self.is_local_fault {
--- a/crates/toucan_gateway/src/overload/relief.rs
+++ b/crates/toucan_gateway/src/overload/relief.rs
@@ -15,10 +15,10 @@
 const ASKING_MS: u64 = 2_000;
 /// Time for which a gateway gets relief.
 const RELIEF_MS: u64 = 4_000;
-/// Time from the start to the first relief. Together with [`RELIEF_MS`] it bounds the part of its lifetime in
-/// which the gateway is not ready to a tenth.
+/// Time from the start until the gateway may ask for relief. Together with [`RELIEF_MS`] it bounds the part of
+/// its lifetime in which it is not ready to a tenth.
 const FIRST_REST_MS: u64 = 36_000;
-/// Time from the end of a relief to the next one.
+/// Time from the end of a relief until the gateway may ask for the next one.
 const REST_MS: u64 = 56_000;
 /// Age above which a report is ignored.
 const MAX_REPORT_AGE_MS: u64 = 3_000;
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -42,7 +42,7 @@
     peer_loads: FastHashMap<u64, PeerLoad>,
 }
 
-/// Load that one VM puts on a target.
+/// Load on a target, of one VM or of all.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TargetLoad {
     /// Number of calls in flight.
@@ -229,12 +229,10 @@
     pub fn less_urgent_tokens(&self, urgency: u8, prefill_tokens_per_ms: f64, now_ms: u64) -> u64 {
         let peer_total: u64 = self
             .recent_peer_loads(now_ms)
-            .map(|load| {
-                let age_ms = now_ms.saturating_sub(load.updated_at_ms) as f64;
-                let processed_tokens = (age_ms * prefill_tokens_per_ms) as u64;
-                let left = load.load.unread_tokens.saturating_sub(processed_tokens);
-                let less_urgent = load.load.unread_by_urgency.less_urgent_than(urgency);
-                less_urgent.min(left)
+            .map(|peer| {
+                let left = peer.unread_tokens(prefill_tokens_per_ms, now_ms);
+                let tokens = &peer.load.unread_by_urgency;
+                tokens.less_urgent_than(urgency).min(left)
             })
             .sum();
         self.own.unread_by_urgency.less_urgent_than(urgency) + peer_total
--- a/crates/toucan_gateway/src/retries/next_step.rs
+++ b/crates/toucan_gateway/src/retries/next_step.rs
@@ -4,7 +4,8 @@
 
 /// Number of failures to send a call at which it is refused.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// The same while this VM is the cause. Each failure then takes as long as a retransmitted SYN.
+/// Number of failures to send a call at which it is refused while this VM is the cause. Each may take as long
+/// as a retransmitted SYN.
 const MAX_LOCAL_FAULTS: u32 = 2;
 /// Shortest remaining time in which another target is tried.
 const MIN_REMAINING_MS: u64 = 20;
--- a/crates/toucan_gateway/src/serving/choose.rs
+++ b/crates/toucan_gateway/src/serving/choose.rs
@@ -41,19 +41,17 @@
     };
     let settings = ChoiceSettings::default();
     let chosen = choose_target(&request, &call.service, &state.targets, &settings, now_ms)?;
+    let backlog_ms = backlog_before_ms(&chosen, call, &settings, now_ms);
     Some(ChosenTarget {
         entry: Rc::clone(&chosen.target.entry),
         max_connections,
         expected_ms: chosen.first_event_ms as u64,
         is_behind: request.engine.is_some()
-            && are_targets_behind(
-                backlog_before_ms(&chosen, call, &settings, now_ms),
-                call.route.latency_objective_ms,
-            ),
+            && are_targets_behind(backlog_ms, call.route.latency_objective_ms),
         own_work_ms: chosen.first_event_ms - chosen.backlog_ms,
         overload_ms: request.engine.and_then(|_engine| {
             overload_retry_after_ms(
-                backlog_before_ms(&chosen, call, &settings, now_ms),
+                backlog_ms,
                 call.route.latency_objective_ms,
                 call.left_ms(now_ms),
             )
@@ -128,7 +126,8 @@
     exceeds
 }
 
-/// Returns when the caller of a call that is refused because the engines are behind may return.
+/// Returns the time in milliseconds after which the caller of a refused call may return. `overload_ms` is the
+/// time in which the target gets rid of what is before the call.
 pub(crate) fn schedule_return<P: Platform>(
     gateway: &Gateway<P>,
     call: &Call,
@@ -156,10 +155,10 @@
     pub(crate) max_connections: u32,
     /// Expected time to the first event.
     pub(crate) expected_ms: u64,
+    /// Part of `expected_ms` that the call itself takes, without the backlog before it.
+    pub(crate) own_work_ms: f64,
     /// Whether the target is far enough behind that organisations get no more than their shares.
     pub(crate) is_behind: bool,
-    /// Part of that time that the call itself takes.
-    pub(crate) own_work_ms: f64,
     /// Time in which the target processes its backlog, if that is too long.
     pub(crate) overload_ms: Option<u64>,
 }
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -94,8 +94,7 @@
         tracker.log.expected_ms = chosen.expected_ms;
         let is_first = call.progress == CallProgress::default() && call.denied.is_empty();
         if is_first && exceeds_fair_share(gateway, call, &chosen, now_ms) {
-            let overload_ms = chosen.expected_ms;
-            let return_ms = schedule_return(gateway, call, &chosen, overload_ms, now_ms);
+            let return_ms = schedule_return(gateway, call, &chosen, chosen.expected_ms, now_ms);
             return Err((
                 Refusal::Overloaded { return_ms },
                 "the organisation has more than its share while engines are behind",
--- a/crates/toucanctl/src/commands/explain_log.rs
+++ b/crates/toucanctl/src/commands/explain_log.rs
@@ -67,6 +67,22 @@
         "no_target_in_regions",
         "no target was in service in a region that the route and the organisation both allow",
     ),
+    (
+        "gateway_busy",
+        "this VM had no room for another call; the next attempt probably reaches another VM",
+    ),
+    (
+        "buffers_full",
+        "the memory for calls was in use; the caller was told when enough is released",
+    ),
+    (
+        "cannot_connect",
+        "this VM could not connect to targets and was itself the cause",
+    ),
+    (
+        "ended_for_memory",
+        "memory was short and the answer was ended; its caller had read least, or no memory was left",
+    ),
     (
         "target_failed",
         "a target failed and may have run the call, which may not be repeated",
