--- a/crates/toucan_gateway/src/socket_options.rs
+++ b/crates/toucan_gateway/src/socket_options.rs
@@ -55,7 +55,7 @@
     pub(crate) const TARGET: Self = Self {
         send_bytes: 64 * 1024,
         receive_bytes: 32 * 1024,
-        user_timeout: Duration::from_secs(2),
+        user_timeout: USER_TIMEOUT,
     };
 
     /// Sets the options on a socket, in place of what [`set_liveness_options`] has set.
