--- a/crates/toucan_gateway/src/socket_options.rs
+++ b/crates/toucan_gateway/src/socket_options.rs
@@ -49,9 +49,9 @@
         receive_bytes: 32 * 1024,
         user_timeout: Duration::from_secs(60),
     };
-    /// Connections to targets. A target that was cut off is noticed within the timeout. A longer one lets a call
-    /// that was held up reach a target after the time in which a leaving target may still get calls. A smaller
-    /// send buffer stalls large bodies where segments are as large as 64 KiB.
+    /// Connections to targets. A target that was cut off is noticed within the timeout. With a longer one, a call
+    /// that was held up on the way reaches a leaving target later. A smaller send buffer stalls large bodies
+    /// where segments are as large as 64 KiB.
     pub(crate) const TARGET: Self = Self {
         send_bytes: 64 * 1024,
         receive_bytes: 32 * 1024,
