Write the origins of running streams to the store, and never guess a version

Callers saw: after the death of all gateways a stream that was taken up again without naming its attempt went on at the only version that the new processes saw, joined from two versions if the old one had left; and one that named its attempt was refused, though targets of its version were there. Cause: what tells where a stream began was in the memory of gateways alone, and what a process had seen since its start was taken as evidence. Change: each gateway writes the origins of its running streams in batches to the store (250 ms with several versions, 1 s with one, bounded for the fleet), without holding back the first event; a gateway that nobody answers reads them. Without evidence a call is refused, also if it names no attempt; the exception is a version that was watched alone for 30 s. Ruled out: digests of calls, a hash of the attempt, version records alone (docs/design/resumed-streams.md).

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -51,6 +51,12 @@
     pub(crate) origin_lookups: RefCell<OriginLookups>,
     /// Notifies calls that wait for the origin of a stream.
     pub(crate) origins_changed: Notify,
+    /// Wakes the task that writes where streams began.
+    pub(crate) origin_waiting: Notify,
+    /// Wakes the task that reads where streams began.
+    pub(crate) origins_requested: Notify,
+    /// Start time of the last completed read of where streams began.
+    pub(crate) origins_read_at: watch::Sender<u64>,
     /// Notifies calls that wait for tokens.
     pub(crate) tokens_changed: Notify,
     /// Notifies calls that wait for the trial of a part.
@@ -103,6 +109,9 @@
             transfers: RefCell::default(),
             origin_lookups: RefCell::default(),
             origins_changed: Notify::new(),
+            origin_waiting: Notify::new(),
+            origins_requested: Notify::new(),
+            origins_read_at: watch::channel(0).0,
             tokens_changed: Notify::new(),
             poison_changed: Notify::new(),
             permits_changed: Notify::new(),
--- a/crates/toucan_gateway/src/keyed_log.rs
+++ b/crates/toucan_gateway/src/keyed_log.rs
@@ -28,6 +28,8 @@
     Grants,
     /// Verdicts on parts of prompts that end targets.
     PoisonVerdicts,
+    /// Where running streams began.
+    StreamOrigins,
 }
 
 /// A record with a key.
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -30,6 +30,7 @@
         config_watch::watch_config,
         grant_sync::sync_grants,
         membership::watch_members,
+        origin_sync::{read_origins, write_origins},
         peer_exchange::{broadcast_load, receive_datagrams},
         shutdown,
         target_watch::watch_targets,
@@ -67,6 +68,8 @@
         gateway.spawn_duty("members", watch_members);
         gateway.spawn_duty("verdicts", watch_verdicts);
         gateway.spawn_duty("verdict", write_verdicts);
+        gateway.spawn_duty("stream_origins", read_origins);
+        gateway.spawn_duty("stream_origin", write_origins);
         gateway.spawn_duty("connections", sweep_connections);
         gateway.spawn_grant_sync();
         log::info!(
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -14,7 +14,7 @@
     call::{Call, CallTracker},
     delivery::RelayedEvents,
     response::IncompleteResponse,
-    resumption::begin_stream,
+    resumption::{begin_stream, forget_stream},
     send::{EventResponse, TargetResponse, next_bytes, send_with_retries, take_retry},
 };
 
@@ -100,6 +100,7 @@
                         yield relayed(&splitter, rest);
                     }
                     delivery.all_taken().await;
+                    forget_stream(&gateway, &call);
                     tracker.complete(status, "whole");
                 }
                 StreamEnd::OutOfMemory => {
--- a/crates/toucan_gateway/src/serving/resumption.rs
+++ b/crates/toucan_gateway/src/serving/resumption.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Gateway, Platform, Refusal, config::RouteKind, peers::PeerMessage, streams::StreamOrigin,
+    tasks::origin_sync::read_stored_origin,
 };
 
 use super::{call::Call, send::Refused};
@@ -22,6 +23,8 @@
     Known,
     /// Another gateway knew.
     Told,
+    /// The store tells it.
+    Stored,
     /// Only one version has served.
     OnlyVersion,
 }
@@ -31,12 +34,14 @@
         match self {
             Self::Known => "known",
             Self::Told => "told",
+            Self::Stored => "stored",
             Self::OnlyVersion => "only_version",
         }
     }
 }
 
-/// Fixes the origin of the stream that an attempt of the caller begins, and tells other gateways.
+/// Fixes the origin of the stream that an attempt of the caller begins, tells other gateways and has it
+/// written to the store.
 pub(crate) fn begin_stream<P: Platform>(
     gateway: &Gateway<P>,
     call: &mut Call,
@@ -52,6 +57,7 @@
         if !state.stream_origins.record(&call.id, origin, now_ms) {
             return;
         }
+        state.origin_outbox.push(&call.id, origin, now_ms);
         let members = &state.members;
         members.origin_replicas(&call.id, &gateway.location, now_ms)
     };
@@ -60,6 +66,13 @@
         origin: Some(origin.clone()),
     };
     gateway.send_to_peers(replicas.iter(), message);
+    gateway.origin_waiting.notify_one();
+}
+
+/// Records that a caller has received its whole stream, which nobody resumes.
+pub(crate) fn forget_stream<P: Platform>(gateway: &Gateway<P>, call: &Call) {
+    let state = &mut *gateway.state.borrow_mut();
+    state.origin_outbox.remove(&call.id);
 }
 
 /// Fixes the service and software version of a call that resumes a stream.
@@ -117,15 +130,14 @@
         if let Some(origin) = ask_other_gateways(gateway, attempt).await {
             return Some((origin, Evidence::Told));
         }
+        if let Some(origin) = read_stored_origin(gateway, attempt).await {
+            return Some((origin, Evidence::Stored));
+        }
     }
     let state = gateway.state.borrow();
     let versions = &state.target_versions;
-    // If the caller names an attempt, a retry may reach a gateway that knows it, so what this gateway
-    // may have missed counts. If it names none, nobody can know more than is seen here.
-    if first_attempt.is_some() && !versions.is_gapless(gateway.now_ms()) {
-        return None;
-    }
-    let software_version = versions.only_version(&call.service)?.clone();
+    let sole_version = versions.sole_version(&call.service, gateway.now_ms());
+    let software_version = sole_version?.clone();
     let service = call.service.clone();
     let origin = StreamOrigin {
         service,
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -15,7 +15,7 @@
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
     retries::{initial_retry_budget, retry_share},
     settings::Bounds,
-    streams::{OriginTable, VersionHistory},
+    streams::{OriginOutbox, OriginTable, VersionHistory},
 };
 
 /// Time for which a process that is shutting down still accepts calls. The load balancer probes
@@ -41,6 +41,8 @@
     pub(crate) target_versions: VersionHistory,
     /// Where recent streams began.
     pub(crate) stream_origins: OriginTable,
+    /// Where running streams began that the store does not tell yet.
+    pub(crate) origin_outbox: OriginOutbox,
     /// Permits that this gateway grants for calls to targets with a limit.
     pub(crate) permit_granter: PermitGranter,
     /// Calls whose connections broke, until it is known whether their targets have ended.
--- a/crates/toucan_gateway/src/streams/version_history.rs
+++ b/crates/toucan_gateway/src/streams/version_history.rs
@@ -39,19 +39,30 @@
         }
     }
 
-    /// Returns the only version that was registered for a service while a stream may last; [`None`]
-    /// if there were several or none.
+    /// Returns the version that began every stream of a service that may still be resumed: the only one
+    /// that was registered while the registrations were read without a gap.
+    ///
+    /// [`None`] if there were several or none, or if one may have been missed.
     #[must_use]
-    pub fn only_version(&self, service: &ServiceName) -> Option<&SoftwareVersion> {
+    pub fn sole_version(&self, service: &ServiceName, now_ms: u64) -> Option<&SoftwareVersion> {
+        if !self.is_gapless(now_ms) {
+            return None;
+        }
         let mut versions = self.last_seen_ms.get(service)?.keys();
         let only = versions.next()?;
         versions.next().is_none().then_some(only)
     }
 
+    /// Returns whether several versions of a service were registered while a stream may last.
+    #[must_use]
+    pub fn has_several_versions(&self) -> bool {
+        let mut services = self.last_seen_ms.values();
+        services.any(|versions| versions.len() > 1)
+    }
+
     /// Returns whether the registrations have been read without a gap for as long as a stream may
     /// last, so that no version was missed.
-    #[must_use]
-    pub fn is_gapless(&self, now_ms: u64) -> bool {
+    fn is_gapless(&self, now_ms: u64) -> bool {
         self.watched.is_some_and(|(since_ms, last_ms)| {
             now_ms >= since_ms + MAX_STREAM_AGE_MS && now_ms <= last_ms + MAX_READ_GAP_MS
         })
--- a/crates/toucan_gateway/src/tasks/grant_sync.rs
+++ b/crates/toucan_gateway/src/tasks/grant_sync.rs
@@ -2,12 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
-use displaydoc::Display;
-use rand::Rng;
-use tokio::time::{sleep, timeout};
-use toucan_types::OrganisationName;
-
 use crate::{
     Gateway, Platform,
     budget::{
@@ -18,9 +12,13 @@
     keyed_log::{AppendError, KeyedRecord, ReadError, Topic},
     state::{BudgetSnapshot, GatewayState},
 };
+use bytes::Bytes;
+use displaydoc::Display;
+use rand::Rng;
+use tokio::time::{sleep, timeout};
 
 use super::{
-    partition_consumer::{BatchKind, PartitionConsumer},
+    partition_consumer::{BatchKind, PartitionConsumer, partition_of},
     store_health::StoreHealth,
 };
 
@@ -126,9 +124,10 @@
         return Ok(());
     };
     let mut by_partition: Vec<Vec<Rc<Organisation>>> = vec![Vec::new(); partitions.len()];
+    let count = u32::try_from(partitions.len()).unwrap_or(u32::MAX);
     for organisation in config.organisations.iter() {
-        let number = partition_of(&organisation.name, partitions.len());
-        by_partition[number].push(Rc::clone(organisation));
+        let number = partition_of(organisation.name.as_str(), count);
+        by_partition[number as usize].push(Rc::clone(organisation));
     }
     let restore = gateway.platform.last_restore();
     gateway
@@ -166,12 +165,6 @@
     initial_ms << conflicts.min(MAX_BACKOFF_DOUBLINGS)
 }
 
-/// Returns the number of the partition that holds an organisation's budget.
-fn partition_of(organisation: &OrganisationName, count: usize) -> usize {
-    let hash = blake3::hash(organisation.as_str().as_bytes());
-    usize::from(hash.as_bytes()[0]) % count
-}
-
 impl GrantPartition {
     fn new(number: u32, process: GatewayProcess) -> Self {
         Self {
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod grant_sync;
 mod loan_exchange;
 pub(crate) mod membership;
+pub(crate) mod origin_sync;
 mod partition_consumer;
 pub(crate) mod peer_exchange;
 pub(crate) mod shutdown;
--- a/crates/toucan_gateway/src/tasks/partition_consumer.rs
+++ b/crates/toucan_gateway/src/tasks/partition_consumer.rs
@@ -10,6 +10,12 @@
 /// Pause after a read that returned nothing before its time.
 const EMPTY_READ_PAUSE: Duration = Duration::from_millis(200);
 
+/// Returns the number of the partition that holds the records of `name`, out of `count`.
+pub(crate) fn partition_of(name: &str, count: u32) -> u32 {
+    let hash = blake3::hash(name.as_bytes());
+    u32::from(hash.as_bytes()[0]) % count.max(1)
+}
+
 /// Reads a snapshot of a partition and then the records appended after it.
 #[derive(Debug)]
 pub(crate) struct PartitionConsumer {
--- a/crates/toucan_gateway/tests/stream_origins.rs
+++ b/crates/toucan_gateway/tests/stream_origins.rs
@@ -10,7 +10,10 @@
 use test_case::test_case;
 use toucan_gateway::{
     config::TargetEntry,
-    streams::{MAX_STREAM_AGE_MS, OriginLookups, OriginTable, StreamOrigin, VersionHistory},
+    streams::{
+        MAX_STREAM_AGE_MS, OriginBatch, OriginLookups, OriginOutbox, OriginTable, StreamOrigin,
+        VersionHistory, origin_write_interval_ms,
+    },
 };
 use toucan_types::{DataCentreName, RequestId, ServiceName, SoftwareVersion, TargetName, VmName};
 
@@ -136,11 +139,12 @@
 #[test_case(&["v1", "v2"], &["v1", "v2"] => None; "two versions")]
 #[test_case(&["v1"], &["v2"] => None; "a version that has just left")]
 #[test_case(&[], &[] => None; "no version")]
-fn only_version(before: &[&str], now: &[&str]) -> Option<String> {
+fn sole_version(before: &[&str], now: &[&str]) -> Option<String> {
     let mut history = VersionHistory::default();
-    record_reads(&mut history, before, 0, 1_000);
-    record_reads(&mut history, now, 1_200, 2_000);
-    let version = history.only_version(&ServiceName::from("s"));
+    record_reads(&mut history, before, 0, MAX_STREAM_AGE_MS);
+    let changed_ms = MAX_STREAM_AGE_MS + READ_INTERVAL_MS;
+    record_reads(&mut history, now, changed_ms, changed_ms + 1_000);
+    let version = history.sole_version(&ServiceName::from("s"), changed_ms + 1_000);
     version.map(ToString::to_string)
 }
 
@@ -148,26 +152,63 @@
 fn version_that_left_long_ago_began_no_stream() {
     let mut history = VersionHistory::default();
     record_reads(&mut history, &["v1"], 0, 1_000);
-    record_reads(&mut history, &["v2"], 1_200, 2_000 + MAX_STREAM_AGE_MS);
-    let version = history.only_version(&ServiceName::from("s"));
+    let now_ms = 2_000 + MAX_STREAM_AGE_MS;
+    record_reads(&mut history, &["v2"], 1_200, now_ms);
+    let version = history.sole_version(&ServiceName::from("s"), now_ms);
     assert_eq!(version, Some(&SoftwareVersion::from("v2")));
 }
 
 #[test]
 fn history_with_a_gap_proves_nothing() {
     let mut history = VersionHistory::default();
-    assert!(!history.is_gapless(0), "nothing was read");
+    let proves = |history: &VersionHistory, now_ms| {
+        let version = history.sole_version(&ServiceName::from("s"), now_ms);
+        version.is_some()
+    };
+    assert!(!proves(&history, 0), "nothing was read");
     record_reads(&mut history, &["v1"], 0, 10_000);
-    assert!(!history.is_gapless(10_000), "streams may be older");
+    assert!(!proves(&history, 10_000), "streams may be older");
     record_reads(&mut history, &["v1"], 10_400, MAX_STREAM_AGE_MS);
-    assert!(history.is_gapless(MAX_STREAM_AGE_MS));
+    assert!(proves(&history, MAX_STREAM_AGE_MS));
+    let later_ms = MAX_STREAM_AGE_MS + 5_000;
+    assert!(!proves(&history, later_ms), "the store is away");
+    history.record_read(&[target("v1")], later_ms);
     assert!(
-        !history.is_gapless(MAX_STREAM_AGE_MS + 5_000),
-        "the store is away"
-    );
-    history.record_read(&[target("v1")], MAX_STREAM_AGE_MS + 5_000);
-    assert!(
-        !history.is_gapless(MAX_STREAM_AGE_MS + 5_000),
+        !proves(&history, later_ms),
         "a version may have been missed"
     );
 }
+
+#[test]
+fn store_is_written_less_often_the_larger_the_fleet() {
+    assert_eq!(origin_write_interval_ms(true, 9), 250);
+    assert_eq!(origin_write_interval_ms(false, 9), 1_000);
+    assert_eq!(origin_write_interval_ms(true, 410), 2_050);
+}
+
+#[test]
+fn outbox_writes_running_streams_once_and_deletes_old_records() {
+    let mut outbox = OriginOutbox::default();
+    let attempts = ["whole", "running"].map(RequestId::from);
+    for attempt in &attempts {
+        outbox.push(attempt, &origin("v1"), 100);
+    }
+    outbox.remove(&attempts[0]);
+    assert_eq!(
+        outbox.due_ms(1_000),
+        Some(0),
+        "the first write is due at once"
+    );
+    let write = outbox.begin_write(200).expect("a stream waits");
+    let written: Vec<_> = write.batch.iter().collect();
+    assert_eq!(written, [(&attempts[1], &origin("v1"))]);
+    assert_eq!(outbox.begin_write(300), None);
+    outbox.push(&attempts[0], &origin("v2"), 400);
+    assert_eq!(outbox.due_ms(1_000), Some(1_200));
+    let later_ms = 201 + MAX_STREAM_AGE_MS;
+    let next = outbox.begin_write(later_ms).expect("a stream waits");
+    assert_eq!(next.expired, [write.number]);
+    assert_ne!(next.number, write.number);
+    let bytes = next.batch.encode().expect("a batch can be encoded");
+    assert_eq!(OriginBatch::decode(&bytes), Ok(next.batch));
+}
