Release the state before waiting after a failed write of origins

Cause: a borrow of the state lived on to the end of its block, across the pause after a failed write. Change: the borrow ends with its statement. Shown by: stream_that_began_while_the_store_was_away_goes_on_later.

--- a/crates/toucan_gateway/src/tasks/origin_sync.rs
+++ b/crates/toucan_gateway/src/tasks/origin_sync.rs
@@ -65,8 +65,11 @@
             }
             Err(error) => {
                 let now_ms = gateway.now_ms();
-                let outbox = &mut gateway.state.borrow_mut().origin_outbox;
-                outbox.restore(&write.batch, now_ms);
+                let state = &gateway.state;
+                state
+                    .borrow_mut()
+                    .origin_outbox
+                    .restore(&write.batch, now_ms);
                 sleep(health.record_failure(&error, now_ms)).await;
             }
         }
