Hold more of a budget that is half spent, and less of one that is new or nearly spent

Hypothesis: a steeper limit with a larger factor covers cuts in the middle of a budget without a larger loss near its end, and 9 s suffice. Change: 9 s, 3.5 times the fourth power. Served that were not: callers of half-spent budgets while the store is cut off.

--- a/crates/toucan_gateway/src/budget/draw_sizing.rs
+++ b/crates/toucan_gateway/src/budget/draw_sizing.rs
@@ -7,9 +7,9 @@
 pub struct DrawSettings {
     /// Store outage, in seconds, that the tokens held by all processes together should cover.
     pub outage_reserve_s: f64,
-    /// Largest fraction of an unspent budget that all processes hold together. The limit shrinks
-    /// with the cube of the unspent fraction.
-    pub max_held_fraction: f64,
+    /// Factor of the limit on what all processes hold together: this times the budget times the fourth power of
+    /// its unspent fraction, so more than is unspent at the start of a budget.
+    pub max_held_factor: f64,
     /// Fraction of the desired total that is split by each process's own rate; the rest is split
     /// evenly.
     pub own_rate_weight: f64,
@@ -28,12 +28,11 @@
 impl DrawSettings {
     /// The settings that gateways use.
     pub const DEFAULT: Self = Self {
-        // Covers two typical store outages of 8 to 9 s each in close succession.
-        outage_reserve_s: 16.0,
+        // Calls ask for about twice the tokens that they use, so this covers nearly twice the time.
+        outage_reserve_s: 9.0,
         // Tokens that a process holds when it crashes are lost. A budget that is nearly spent must
-        // not lose more than a few hundredths this way. If it refuses calls during an outage,
-        // later calls can still use the tokens.
-        max_held_fraction: 0.75,
+        // not lose more than a few hundredths this way, one of which half is left can afford it.
+        max_held_factor: 3.5,
         // A process's own rate is a noisy estimate, because calls are few and differ widely in
         // size. Processes with too few tokens can also borrow from others.
         own_rate_weight: 0.5,
@@ -142,7 +141,7 @@
     let unspent = input.prepaid.saturating_sub(input.spent_or_lost).0 as f64;
     let fleet_rate = input.rate_per_s + input.others_rate_per_s;
     let prepaid = (input.prepaid.0 as f64).max(1.0);
-    let max_held = unspent * (unspent / prepaid).powi(2) * settings.max_held_fraction;
+    let max_held = unspent * (unspent / prepaid).powi(3) * settings.max_held_factor;
     let held_by_all = (fleet_rate * settings.outage_reserve_s).min(max_held);
     let rate_share = if fleet_rate > 0.0 {
         input.rate_per_s / fleet_rate
