--- a/crates/toucan_gateway/src/serving/reserve_tokens.rs
+++ b/crates/toucan_gateway/src/serving/reserve_tokens.rs
@@ -145,12 +145,18 @@
     now_ms: u64,
 ) {
     let mut state = gateway.state.borrow_mut();
-    let snapshot = state
-        .budget_snapshots
-        .get(&organisation.name)
-        .copied()
-        .unwrap_or_default();
+    let snapshot = state.budget_snapshots.get(&organisation.name).copied();
     let available = state.wallet(&organisation.name).available();
+    let Some(snapshot) = snapshot else {
+        log::info!(
+            target: "budget",
+            organisation = organisation.name.as_str(),
+            asked_tokens = requested.0,
+            available_tokens = available.0;
+            "tokens are lacking, the budget has not been read since the start"
+        );
+        return;
+    };
     log::info!(
         target: "budget",
         organisation = organisation.name.as_str(),
