Remember software versions for as long as they may have begun streams that callers resume

Change: versions are remembered, and have to be watched, for 60 s. The tests of the former time keep their strictness with the new one.

--- a/crates/toucan_gateway/src/streams/version_history.rs
+++ b/crates/toucan_gateway/src/streams/version_history.rs
@@ -6,6 +6,9 @@
 
 use super::MAX_STREAM_AGE_MS;
 
+/// Time for which a version is remembered after its last registration. A target may send the first event
+/// of a stream some time after its registration has ended, and the stream may be resumed later still.
+const REMEMBERED_MS: u64 = 2 * MAX_STREAM_AGE_MS;
 /// Longest time between two reads of the registrations in which no version can come and go unseen.
 const MAX_READ_GAP_MS: u64 = 2_000;
 
@@ -35,7 +38,7 @@
             self.record_version(&target.service, &target.software_version, now_ms);
         }
         for versions in self.last_seen_ms.values_mut() {
-            versions.retain(|_version, seen_ms| now_ms <= *seen_ms + MAX_STREAM_AGE_MS);
+            versions.retain(|_version, seen_ms| now_ms <= *seen_ms + REMEMBERED_MS);
         }
     }
 
@@ -64,7 +67,7 @@
     /// last, so that no version was missed.
     fn is_gapless(&self, now_ms: u64) -> bool {
         self.watched.is_some_and(|(since_ms, last_ms)| {
-            now_ms >= since_ms + MAX_STREAM_AGE_MS && now_ms <= last_ms + MAX_READ_GAP_MS
+            now_ms >= since_ms + REMEMBERED_MS && now_ms <= last_ms + MAX_READ_GAP_MS
         })
     }
 
--- a/crates/toucan_gateway/tests/origin_histories.rs
+++ b/crates/toucan_gateway/tests/origin_histories.rs
@@ -300,6 +300,12 @@
     }
 }
 
+/// A version that had left began the stream after its last registration.
+#[test_case(3_477_649_836_673_508_315)]
+fn history_does_not_join_two_versions(seed: u64) {
+    assert_eq!(History::new(Rule::Evidence, seed).run(), Ok(()));
+}
+
 /// The rule without its evidence joins versions, so the histories would show it.
 #[test_case(Rule::OnlyVersionSinceStart)]
 fn histories_find_a_rule_that_guesses(rule: Rule) {
--- a/crates/toucan_gateway/tests/stream_origins.rs
+++ b/crates/toucan_gateway/tests/stream_origins.rs
@@ -19,6 +19,9 @@
 
 /// Interval between two reads of the registrations.
 const READ_INTERVAL_MS: u64 = 400;
+/// Time for which one version has to be seen alone to have begun all streams that may be resumed: the time
+/// from its last registration to the first event, and from there to the resumption.
+const WATCH_MS: u64 = 2 * MAX_STREAM_AGE_MS;
 
 proptest! {
     #[test]
@@ -141,8 +144,8 @@
 #[test_case(&[], &[] => None; "no version")]
 fn sole_version(before: &[&str], now: &[&str]) -> Option<String> {
     let mut history = VersionHistory::default();
-    record_reads(&mut history, before, 0, MAX_STREAM_AGE_MS);
-    let changed_ms = MAX_STREAM_AGE_MS + READ_INTERVAL_MS;
+    record_reads(&mut history, before, 0, WATCH_MS);
+    let changed_ms = WATCH_MS + READ_INTERVAL_MS;
     record_reads(&mut history, now, changed_ms, changed_ms + 1_000);
     let version = history.sole_version(&ServiceName::from("s"), changed_ms + 1_000);
     version.map(ToString::to_string)
@@ -152,7 +155,7 @@
 fn version_that_left_long_ago_began_no_stream() {
     let mut history = VersionHistory::default();
     record_reads(&mut history, &["v1"], 0, 1_000);
-    let now_ms = 2_000 + MAX_STREAM_AGE_MS;
+    let now_ms = 2_000 + WATCH_MS;
     record_reads(&mut history, &["v2"], 1_200, now_ms);
     let version = history.sole_version(&ServiceName::from("s"), now_ms);
     assert_eq!(version, Some(&SoftwareVersion::from("v2")));
@@ -168,9 +171,9 @@
     assert!(!proves(&history, 0), "nothing was read");
     record_reads(&mut history, &["v1"], 0, 10_000);
     assert!(!proves(&history, 10_000), "streams may be older");
-    record_reads(&mut history, &["v1"], 10_400, MAX_STREAM_AGE_MS);
-    assert!(proves(&history, MAX_STREAM_AGE_MS));
-    let later_ms = MAX_STREAM_AGE_MS + 5_000;
+    record_reads(&mut history, &["v1"], 10_400, WATCH_MS);
+    assert!(proves(&history, WATCH_MS));
+    let later_ms = WATCH_MS + 5_000;
     assert!(!proves(&history, later_ms), "the store is away");
     history.record_read(&[target("v1")], later_ms);
     assert!(
