Show how long requests wait for connections, and how old the targets are that a gateway has read

Lines of calls gain held_ms; metrics toucan_send_wait_seconds and toucan_target_read_gap_seconds. No decision is changed.

--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -27,6 +27,8 @@
     pub(crate) resumes: String,
     /// Id of the last event that the caller received before it resumed; empty if there is none.
     pub(crate) resumes_after: String,
+    /// Longest time for which a request waited for a connection to its target.
+    pub(crate) held_ms: u64,
     /// Tokens reserved for the call.
     pub(crate) reserved_tokens: u64,
     /// Expected time from the last send to the first event.
@@ -62,6 +64,7 @@
             software_versions = self.software_versions.join(",").as_str(),
             resumes = self.resumes.as_str(),
             resumes_after = self.resumes_after.as_str(),
+            held_ms = self.held_ms,
             reserved_tokens = self.reserved_tokens,
             spent_tokens = spent_tokens,
             took_ms = now_ms.saturating_sub(self.began_ms),
@@ -71,6 +74,12 @@
         );
     }
 
+    /// Records how long a request waited for a connection to its target.
+    pub(crate) fn record_held(&mut self, held_ms: u64) {
+        self.held_ms = self.held_ms.max(held_ms);
+        metrics::histogram!("toucan_send_wait_seconds").record(held_ms as f64 / 1_000.0);
+    }
+
     /// Records how much of an incomplete event has been read.
     pub(crate) fn record_progress(&mut self, stream: &EventSplitter) {
         self.partial_event_bytes = stream.partial_event_bytes();
@@ -94,6 +103,7 @@
             software_versions = self.software_versions.join(",").as_str(),
             resumes = self.resumes.as_str(),
             resumes_after = self.resumes_after.as_str(),
+            held_ms = self.held_ms,
             reserved_tokens = self.reserved_tokens,
             spent_tokens = spent_tokens,
             expected_ms = self.expected_ms,
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -47,6 +47,8 @@
     pub(crate) now_ms: u64,
     /// Receives what the target states about itself, also if its response is of no use.
     pub(crate) notice: &'a mut TargetNotice,
+    /// Receives the time in milliseconds for which the request waited for a connection.
+    pub(crate) held_ms: &'a mut u64,
 }
 
 /// What a target states about itself in a response.
@@ -100,7 +102,10 @@
         exchange.left_ms,
         exchange.now_ms,
     );
-    let mut connection = checkout.await.map_err(|error| {
+    let connection = checkout.await;
+    let connect_time = began_at.elapsed();
+    *exchange.held_ms = connect_time.as_millis() as u64;
+    let mut connection = connection.map_err(|error| {
         log::info!(
             target: "pool",
             id = exchange.id.as_str(),
@@ -114,7 +119,6 @@
         SendFailure::NotSent(error.call_outcome())
     })?;
     let sent_at = Instant::now();
-    let connect_time = sent_at - began_at;
     let left = Duration::from_millis(exchange.left_ms).saturating_sub(connect_time);
     let head_timeout = exchange.head_timeout.min(left);
     let mut request = exchange.request;
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -196,6 +196,7 @@
     let software_version = target.software_version.to_string();
     tracker.log.software_versions.push(software_version);
     let mut notice = TargetNotice::default();
+    let mut held_ms = 0;
     let exchange = Exchange {
         target,
         id: &call.id,
@@ -205,9 +206,11 @@
         left_ms: call.left_ms(now_ms),
         now_ms,
         notice: &mut notice,
+        held_ms: &mut held_ms,
     };
     tracker.mark_may_have_run();
     let exchanged = send_request(&gateway.platform, &gateway.pool, exchange).await;
+    tracker.log.record_held(held_ms);
     apply_notice(gateway, target, notice, now_ms);
     let received = match exchanged {
         Ok(response) => {
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -24,10 +24,13 @@
     let mut consumer = PartitionConsumer::new(Topic::Targets, 0);
     let mut health = StoreHealth::new("targets");
     let mut grace = DeregistrationGrace::default();
+    let mut last_read_ms = gateway.now_ms();
     loop {
         match consumer.read(&gateway.platform, Duration::ZERO).await {
             Ok(consumed) => {
                 let now_ms = gateway.now_ms();
+                metrics::histogram!("toucan_target_read_gap_seconds").record((now_ms - last_read_ms) as f64 / 1_000.0);
+                last_read_ms = now_ms;
                 grace.record_read(health.record_success(now_ms), now_ms);
                 let usable_until_ms = grace.usable_until_ms(gateway.bounds().drain_ms, now_ms);
                 if consumed.kind != BatchKind::Appended {
