--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -29,7 +29,8 @@
         match consumer.read(&gateway.platform, Duration::ZERO).await {
             Ok(consumed) => {
                 let now_ms = gateway.now_ms();
-                metrics::histogram!("toucan_target_read_gap_seconds").record((now_ms - last_read_ms) as f64 / 1_000.0);
+                metrics::histogram!("toucan_target_read_gap_seconds")
+                    .record((now_ms - last_read_ms) as f64 / 1_000.0);
                 last_read_ms = now_ms;
                 grace.record_read(health.record_success(now_ms), now_ms);
                 let usable_until_ms = grace.usable_until_ms(gateway.bounds().drain_ms, now_ms);
--- a/crates/toucan_gateway/tests/placement.rs
+++ b/crates/toucan_gateway/tests/placement.rs
@@ -311,6 +311,16 @@
     assert_eq!(grace.usable_until_ms(DRAIN_MS, 1_600), 1_600);
 }
 
+/// Guards against one slow read that makes a gateway use a target for seconds after it has left. A live target registers
+/// again before its registration can expire in so short a time.
+#[test]
+fn one_slow_read_does_not_begin_a_grace_period() {
+    let mut grace = DeregistrationGrace::default();
+    grace.record_read(false, 1_000);
+    grace.record_read(true, 3_061);
+    assert_eq!(grace.usable_until_ms(3_000, 3_061), 3_061);
+}
+
 #[test]
 fn grace_period_after_an_outage_stays_within_the_drain_limit() {
     let mut grace = DeregistrationGrace::default();
