Tell other gateways of targets that leave, and withdraw calls whose target left while they waited

What callers and operators saw: calls reached targets up to 3.9 s after the store had acknowledged that these leave; 3 s are allowed. Cause: a gateway acts on what it read last, however old that is. Besides, one slow read passed for an outage of the store and began a grace period of 2 s from the gateway's own read, so the late got later. Change: four gateways for each target, by rendezvous hashing, tell all others of a departure that they read, with its place in the log (restores, offset), and repeat it for 2.5 s. It holds until a later record registers the target. A grace period needs a time without reads in which a registration can expire: two heartbeats. After the wait for a permit and now also for a connection, a call looks again whether its target may still get it; if not, it was not sent and goes elsewhere.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -24,6 +24,7 @@
     config::CallerLimits,
     overload::CallAdmission,
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
+    placement::Departure,
     poison::PoisonTable,
     serving::{ConnectionPool, http_listener::ListenerState},
     settings::{Bounds, GatewaySettings, VmResources},
@@ -317,6 +318,33 @@
         });
     }
 
+    /// Tells the other gateways that a target leaves, as this one has just read it from the store. They may not
+    /// be able to read it.
+    pub(crate) fn tell_departure(&self, departure: Departure) {
+        let now_ms = self.now_ms();
+        let is_teller = {
+            let members = &self.state.borrow().members;
+            members.tells_departures(&departure.target, &self.location, now_ms)
+        };
+        if !is_teller {
+            return;
+        }
+        let message = PeerMessage::Departures(vec![departure.clone()]);
+        self.state.borrow_mut().departures.record(departure, now_ms);
+        self.tell_all(message);
+    }
+
+    /// Applies what another gateway has read of targets that leave.
+    pub(crate) fn accept_departures(&self, departures: &[Departure], sender: &VmName) {
+        let targets = &mut self.state.borrow_mut().targets;
+        for departure in departures {
+            if targets.record_departure(departure) {
+                metrics::counter!("toucan_told_departures_total").increment(1);
+                log::info!(target: "target", name = departure.target.as_str(), vm = sender.as_str(), offset = departure.place.offset.0; "another gateway has read that the target leaves");
+            }
+        }
+    }
+
     /// Records that a target wants no calls from this VM for some time.
     pub(crate) fn record_throttling_target(
         &self,
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -6,6 +6,7 @@
 use crate::{
     binary_format,
     budget::PeerRecovery,
+    placement::Departure,
     poison::{Fingerprint, PoisonVerdict},
     streams::StreamOrigin,
 };
@@ -110,6 +111,8 @@
     },
     /// Tells that calls with a fingerprint end targets.
     Condemned(PoisonVerdict),
+    /// Tells of targets that leave, as the sender has read it from the store.
+    Departures(Vec<Departure>),
 }
 
 /// A message and its sender.
--- a/crates/toucan_gateway/src/peers/permit_share.rs
+++ b/crates/toucan_gateway/src/peers/permit_share.rs
@@ -26,6 +26,9 @@
 /// Number of gateways that are asked for the permits of one target.
 const GRANTERS: usize = 2;
 
+/// Number of gateways that tell the others that a target leaves. Some of them may be unable to read it.
+const TELLERS: usize = 4;
+
 /// Since when this gateway hears from a majority of all gateways.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct MajorityWatch {
@@ -55,11 +58,35 @@
         target: &TargetName,
         local: &GatewayLocation,
         now_ms: u64,
+    ) -> Vec<VmName> {
+        self.rank_for_target(target, local, GRANTERS, now_ms)
+    }
+
+    /// Returns whether the gateway at `local` is one of the few that tell the others when it reads that a target
+    /// leaves.
+    #[must_use]
+    pub fn tells_departures(
+        &self,
+        target: &TargetName,
+        local: &GatewayLocation,
+        now_ms: u64,
+    ) -> bool {
+        self.rank_for_target(target, local, TELLERS, now_ms)
+            .contains(&local.vm)
+    }
+
+    /// Returns up to `count` of the live gateways, the same ones at each gateway that sees the same members.
+    fn rank_for_target(
+        &self,
+        target: &TargetName,
+        local: &GatewayLocation,
+        count: usize,
+        now_ms: u64,
     ) -> Vec<VmName> {
         let live = self.seen_within(LIVENESS_TIMEOUT_MS, now_ms);
         let candidates = live.map(|(vm, _member)| vm);
         let candidates = candidates.chain(std::iter::once(&local.vm));
-        let ranked = rendezvous_ranking(target, candidates, GRANTERS);
+        let ranked = rendezvous_ranking(target, candidates, count);
         ranked.into_iter().cloned().collect()
     }
 
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! The state of targets as seen by this VM, and the choice of a target for each call.
 
 mod choice;
+mod departure;
 mod deregistration_grace;
 mod failure_history;
 mod prompt_cache_estimate;
@@ -11,6 +12,7 @@
 mod target_table;
 
 pub use choice::{Choice, ChoiceRequest, ChoiceSettings, choose_target};
+pub use departure::{Departure, RecentDepartures, RecordPlace};
 pub use deregistration_grace::DeregistrationGrace;
 pub use failure_history::{CallOutcome, FailureHistory};
 pub use prompt_cache_estimate::PromptCacheEstimate;
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -10,7 +10,7 @@
     overload::UrgencyTokens,
 };
 
-use super::{FailureHistory, PromptCacheEstimate, Room};
+use super::{FailureHistory, PromptCacheEstimate, RecordPlace, Room};
 
 /// The state of a target as seen by this VM.
 #[derive(Clone, Debug)]
@@ -25,6 +25,10 @@
     pub prompt_cache: PromptCacheEstimate,
     /// Whether the target has stated that it is leaving.
     pub is_leaving: bool,
+    /// Last record that registers the target; [`None`] if it is not known.
+    pub registered_at: Option<RecordPlace>,
+    /// Record by which the target leaves, as another gateway has read it; [`None`] if a later one registers it.
+    pub departed_at: Option<RecordPlace>,
     /// Whether another process answers at the target's address. The registration is then of a target that
     /// has ended, until it is written again.
     pub is_replaced: bool,
@@ -87,6 +91,8 @@
             failures: FailureHistory::default(),
             prompt_cache: PromptCacheEstimate::default(),
             is_leaving: false,
+            registered_at: None,
+            departed_at: None,
             is_replaced: false,
             throttled_until_ms: 0,
             limit: LimitRecord::default(),
@@ -104,6 +110,12 @@
             .is_some_and(|until_ms| now_ms >= until_ms)
     }
 
+    /// Returns whether the target is registered and its registration does not say that it drains.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        !self.entry.draining && self.usable_until_ms.is_none()
+    }
+
     /// Returns whether the target runs a software version, or whether any will do.
     #[must_use]
     pub fn has_version(&self, software_version: Option<&SoftwareVersion>) -> bool {
@@ -113,7 +125,7 @@
     /// Returns whether the target is registered, is not leaving and has not been replaced.
     #[must_use]
     pub fn is_in_service(&self, now_ms: u64) -> bool {
-        let is_gone = self.is_replaced || self.is_expired(now_ms);
+        let is_gone = self.is_replaced || self.departed_at.is_some() || self.is_expired(now_ms);
         !self.entry.draining && !self.is_leaving && !is_gone
     }
 
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -6,7 +6,9 @@
 
 use crate::{config::TargetEntry, limits::LimitRecord};
 
-use super::{CallOutcome, Exclusion, Reachability, TargetScope, TargetState};
+use super::{
+    CallOutcome, Departure, Exclusion, Reachability, RecordPlace, TargetScope, TargetState,
+};
 
 /// Longest time for which a target can throttle a VM. A wrong value must not take a target out for good.
 const MAX_THROTTLE: Duration = Duration::from_mins(10);
@@ -142,6 +144,33 @@
         !std::mem::replace(&mut target.is_leaving, true)
     }
 
+    /// Records that another gateway has read that a target leaves. It gets no calls until a later record than that
+    /// one registers it.
+    ///
+    /// Returns whether this was not known.
+    pub fn record_departure(&mut self, departure: &Departure) -> bool {
+        let Some(target) = self.by_name.get_mut(&departure.target) else {
+            return false;
+        };
+        if target.entry.started_at_unix_ms != departure.started_at_unix_ms
+            || target.registered_at >= Some(departure.place)
+        {
+            return false;
+        }
+        let is_new = target.is_registered() && target.departed_at.is_none();
+        target.departed_at = target.departed_at.max(Some(departure.place));
+        is_new
+    }
+
+    /// Notes where a registration was read. It ends what an earlier record says of the target's leaving.
+    pub fn record_place(&mut self, name: &TargetName, place: RecordPlace) {
+        let Some(target) = self.by_name.get_mut(name) else {
+            return;
+        };
+        target.registered_at = target.registered_at.max(Some(place));
+        target.departed_at = target.departed_at.filter(|departed| *departed > place);
+    }
+
     /// Records that another process answers at the address of a target in the start that began at
     /// `started_at_unix_ms`. It gets no calls until its registration is read again.
     ///
@@ -214,7 +243,7 @@
     }
 
     /// Returns whether a target that was chosen may still get the call: it has not restarted, is in service,
-    /// and its data centre is not excluded.
+    /// does not throttle this VM, and its data centre is not excluded.
     #[must_use]
     pub fn is_still_eligible(
         &self,
@@ -225,6 +254,7 @@
         self.get(&chosen.name).is_some_and(|target| {
             target.entry.started_at_unix_ms == chosen.started_at_unix_ms
                 && target.is_in_service(now_ms)
+                && target.throttled_until_ms <= now_ms
                 && scope.admits(&target.entry.data_centre)
         })
     }
@@ -278,7 +308,9 @@
             return false;
         };
         let is_new = target.usable_until_ms.is_none();
-        target.usable_until_ms.get_or_insert(usable_until_ms);
+        // What other gateways have read earlier leaves no doubt that the target has gone.
+        let until_ms = target.departed_at.map_or(usable_until_ms, |_place| 0);
+        target.usable_until_ms.get_or_insert(until_ms);
         is_new
     }
 
--- a/crates/toucan_gateway/src/retries/next_step.rs
+++ b/crates/toucan_gateway/src/retries/next_step.rs
@@ -15,6 +15,8 @@
 pub enum SendFailure {
     /// The call was certainly not sent.
     NotSent(CallOutcome),
+    /// The call was not sent because its target left, or was excluded, while the call waited for a connection.
+    Withdrawn,
     /// The target reported that it did not run the call.
     NotRun,
     /// The call may have run.
@@ -27,6 +29,7 @@
     pub const fn call_outcome(self) -> CallOutcome {
         match self {
             Self::NotSent(outcome) | Self::MayHaveRun(outcome) => outcome,
+            Self::Withdrawn => CallOutcome::LocalFault,
             Self::NotRun => CallOutcome::Shed,
         }
     }
@@ -72,6 +75,7 @@
         SendFailure::NotSent(CallOutcome::LocalFault) if progress.unsent >= MAX_LOCAL_FAULTS => {
             NextStep::Refuse(refusal)
         }
+        SendFailure::Withdrawn => NextStep::TryUnsent,
         SendFailure::NotSent(_) if progress.unsent < MAX_UNSENT_ATTEMPTS => NextStep::TryUnsent,
         SendFailure::NotRun if may_send_again => NextStep::SendAgainOr(refusal),
         SendFailure::MayHaveRun(_) if may_send_again && kind.may_run_again() => {
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -108,6 +108,7 @@
     pub(crate) fn record_failure(&mut self, target: &TargetName, failure: SendFailure) {
         match failure {
             // A stale connection says nothing about the target, which stays eligible.
+            SendFailure::Withdrawn => return,
             SendFailure::NotSent(CallOutcome::Broken) => {
                 self.progress.unsent += 1;
                 return;
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -90,10 +90,14 @@
 }
 
 /// Sends a request and waits for the response headers.
+///
+/// The request is withdrawn if `may_still_send` returns false once there is a connection, for which it may have
+/// waited for long enough that the target has left.
 pub(crate) async fn send_request(
     format: &impl WireFormat,
     pool: &Rc<ConnectionPool>,
     exchange: Exchange<'_>,
+    may_still_send: impl Fn() -> bool,
 ) -> Result<OpenResponse, SendFailure> {
     let began_at = Instant::now();
     let checkout = pool.checkout(
@@ -118,6 +122,10 @@
         );
         SendFailure::NotSent(error.call_outcome())
     })?;
+    if !may_still_send() {
+        metrics::counter!("toucan_withdrawn_sends_total").increment(1);
+        return Err(SendFailure::Withdrawn);
+    }
     let sent_at = Instant::now();
     let left = Duration::from_millis(exchange.left_ms).saturating_sub(connect_time);
     let head_timeout = exchange.head_timeout.min(left);
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -209,7 +209,8 @@
         held_ms: &mut held_ms,
     };
     tracker.mark_may_have_run();
-    let exchanged = send_request(&gateway.platform, &gateway.pool, exchange).await;
+    let may_still_send = || is_still_eligible(gateway, call, target);
+    let exchanged = send_request(&gateway.platform, &gateway.pool, exchange, may_still_send).await;
     tracker.log.record_held(held_ms);
     apply_notice(gateway, target, notice, now_ms);
     let received = match exchanged {
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -11,7 +11,7 @@
     limits::{CallRate, PermitGrant, PermitGranter},
     overload::{CallAdmission, FairShares, Relief, ReturnSchedule},
     peers::{GatewayLocation, Members},
-    placement::TargetTable,
+    placement::{RecentDepartures, TargetTable},
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
     retries::{initial_retry_budget, retry_share},
     settings::Bounds,
@@ -37,6 +37,8 @@
     pub(crate) all_evacuated: bool,
     /// Registered targets; empty until they have been read.
     pub(crate) targets: TargetTable,
+    /// Targets that this gateway has read to be leaving, which it tells the others.
+    pub(crate) departures: RecentDepartures,
     /// Software versions that the targets have recently run.
     pub(crate) target_versions: VersionHistory,
     /// Where recent streams began.
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -95,6 +95,10 @@
             work,
         });
         gateway.send_to_peers(vms.iter(), message);
+        let departures = gateway.state.borrow_mut().departures.to_tell(now_ms);
+        if !departures.is_empty() {
+            gateway.send_to_peers(vms.iter(), PeerMessage::Departures(departures));
+        }
         let recovery = gateway.state.borrow().restore_gate.to_tell();
         if let Some(recovery) = recovery {
             gateway.send_to_peers(vms.iter(), PeerMessage::Recovery(recovery));
@@ -264,6 +268,9 @@
                 member.recovery = recovery;
             }
         }
+        PeerMessage::Departures(departures) => {
+            gateway.accept_departures(&departures, &datagram.vm);
+        }
         PeerMessage::TargetReplaced {
             target,
             started_at_unix_ms,
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -8,7 +8,7 @@
 use crate::{
     Gateway, Platform,
     keyed_log::{ReadRecord, Topic},
-    placement::{DeregistrationGrace, TargetChange},
+    placement::{Departure, DeregistrationGrace, RecordPlace, TargetChange},
 };
 
 use super::{
@@ -23,7 +23,7 @@
 pub(crate) async fn watch_targets<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut consumer = PartitionConsumer::new(Topic::Targets, 0);
     let mut health = StoreHealth::new("targets");
-    let mut grace = DeregistrationGrace::default();
+    let mut grace = DeregistrationGrace::new(gateway.bounds().heartbeat_ms);
     let mut last_read_ms = gateway.now_ms();
     loop {
         match consumer.read(&gateway.platform, Duration::ZERO).await {
@@ -66,8 +66,15 @@
     usable_until_ms: u64,
     kind: BatchKind,
 ) {
+    let place = RecordPlace {
+        restore: gateway.platform.last_restore(),
+        offset: read.offset,
+    };
     let Some(bytes) = &read.record.value else {
         let name = TargetName::from(read.record.key.as_str());
+        if kind == BatchKind::Appended && usable_until_ms <= gateway.now_ms() {
+            tell_departure(gateway, &name, place);
+        }
         deregister(gateway, &name, usable_until_ms);
         return;
     };
@@ -86,12 +93,37 @@
     }
     let (name, service) = (entry.name.clone(), entry.service.clone());
     let now_ms = gateway.now_ms();
-    let change = gateway.state.borrow_mut().targets.register(entry, now_ms);
+    let change = {
+        let targets = &mut gateway.state.borrow_mut().targets;
+        let change = targets.register(entry, now_ms);
+        targets.record_place(&name, place);
+        change
+    };
+    if change == TargetChange::Draining && kind == BatchKind::Appended {
+        tell_departure(gateway, &name, place);
+    }
     if change != TargetChange::Other {
         log::info!(target: "target", name = name.as_str(), service = service.as_str(), offset = read.offset.0, change:? = change; "target changed");
     }
 }
 
+/// Tells the other gateways that a target leaves by the record at `place`.
+fn tell_departure<P: Platform>(gateway: &Rc<Gateway<P>>, name: &TargetName, place: RecordPlace) {
+    let started_at_unix_ms = {
+        let state = gateway.state.borrow();
+        let target = state.targets.get(name);
+        target.map(|target| target.entry.started_at_unix_ms)
+    };
+    let Some(started_at_unix_ms) = started_at_unix_ms else {
+        return;
+    };
+    gateway.tell_departure(Departure {
+        target: name.clone(),
+        started_at_unix_ms,
+        place,
+    });
+}
+
 /// Deregisters the targets that are missing from a snapshot.
 fn deregister_missing<P: Platform>(
     gateway: &Rc<Gateway<P>>,
