Connect to targets through other gateways while this one is cut off from them

What callers saw: gateways that had lost their links to all targets served 16 of 102 first attempts where others served 243 of 264, and 0 of 76 where a whole data centre was cut. Cause: a gateway has one way to a target, its own link, and takes a cut for targets that have ended or for a slow link; it tried them until its attempts were used up, up to 2.8 s, and refused. Class: a partial partition, which own observations cannot tell from failed targets. Being not ready does not help callers with open connections, or a data centre where most gateways are cut. Change: two failed connects since the last good one make a cut suspected; a gateway that reaches such a target proves it. A target whose connections broke is asked for through a peer before it counts as ended. Ruled out: targets that were avoided or suspected as the main cause; refusals ended with the cut.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -23,6 +23,7 @@
     clock::boot_time_ms,
     config::CallerLimits,
     overload::CallAdmission,
+    paths::TunnelPeers,
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
     placement::Departure,
     poison::PoisonTable,
@@ -76,6 +77,10 @@
     bounds: Cell<Bounds>,
     start_id: u64,
     datagram_key: [u8; 32],
+    /// Other gateways that could not open tunnels a moment ago.
+    pub(crate) tunnel_peers: RefCell<TunnelPeers>,
+    /// Number of tunnels that are open for other gateways.
+    pub(crate) open_tunnels: Cell<u32>,
     peers_socket: RefCell<Option<Rc<UdpSocket>>>,
 }
 
@@ -130,6 +135,8 @@
             settings,
             start_id,
             datagram_key: rand::rng().random(),
+            tunnel_peers: RefCell::default(),
+            open_tunnels: Cell::new(0),
             peers_socket: RefCell::default(),
         }
     }
@@ -369,6 +376,22 @@
         );
     }
 
+    /// Returns a message as an authenticated datagram.
+    pub(crate) fn encode_datagram(&self, message: PeerMessage) -> Option<Vec<u8>> {
+        let datagram = Datagram {
+            vm: self.settings.vm.clone(),
+            start: self.start_id,
+            message,
+        };
+        match datagram.encode(&self.datagram_key) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                log::error!(target: "peers", error:% = error; "a datagram was not sent");
+                None
+            }
+        }
+    }
+
     /// Sends a message to other gateways without guaranteed delivery.
     pub(crate) fn send_to_peers<'a>(
         &self,
@@ -378,17 +401,8 @@
         let Some(socket) = self.peers_socket.borrow().clone() else {
             return;
         };
-        let datagram = Datagram {
-            vm: self.settings.vm.clone(),
-            start: self.start_id,
-            message,
-        };
-        let bytes = match datagram.encode(&self.datagram_key) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!(target: "peers", error:% = error; "a datagram was not sent");
-                return;
-            }
+        let Some(bytes) = self.encode_datagram(message) else {
+            return;
         };
         let mut state = self.state.borrow_mut();
         for vm in vms {
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -7,7 +7,10 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpSocket, time::timeout};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    time::timeout,
+};
 
 use crate::socket_options::{SlowPeerOptions, set_liveness_options};
 
@@ -87,15 +90,20 @@
     address: SocketAddrV4,
     connect_timeout: Duration,
 ) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
-    connect_http_with(address, connect_timeout, None).await
+    let stream = connect_tcp(address, connect_timeout, None).await?;
+    start_http(stream, None).await
 }
 
-/// Like [`connect_http`], with `options` if the peer may read slowly.
-pub(crate) async fn connect_http_with(
+/// Connects to an address, with `options` if the peer may read slowly.
+///
+/// # Errors
+///
+/// [`ConnectError`] if the connection fails or is not established within the timeout.
+pub(crate) async fn connect_tcp(
     address: SocketAddrV4,
     connect_timeout: Duration,
     options: Option<SlowPeerOptions>,
-) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
+) -> Result<TcpStream, ConnectError> {
     let socket = TcpSocket::new_v4().map_err(|error| ConnectError::NoSocket(error.to_string()))?;
     set_liveness_options(&socket)?;
     if let Some(options) = options {
@@ -104,7 +112,19 @@
     let Ok(connected) = timeout(connect_timeout, socket.connect(address.into())).await else {
         return Err(ConnectError::TimedOut);
     };
-    let stream = connected?;
+    Ok(connected?)
+}
+
+/// Spawns a local task that drives HTTP/1 on a connection until it closes. The peer may read slowly if there are
+/// `options`.
+///
+/// # Errors
+///
+/// [`ConnectError`] if the connection closes at once.
+pub(crate) async fn start_http(
+    stream: TcpStream,
+    options: Option<SlowPeerOptions>,
+) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
     let mut builder = http1::Builder::new();
     if options.is_some() {
         builder.read_buf_exact_size(Some(MAX_SLOW_HEAD_BYTES));
@@ -116,7 +136,7 @@
         .await?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
-            log::debug!(target: "pool", address:% = address, error:% = error; "a connection ended");
+            log::debug!(target: "pool", error:% = error; "a connection ended");
         }
     });
     Ok(sender)
--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -130,6 +130,8 @@
         "moves_callers": state.moves_callers(),
         "calls_admitted_at_once": state.admission.max_calls(),
         "is_link_slow": gateway.pool.is_link_slow(),
+        "is_cut_off": gateway.pool.is_cut_off(),
+        "open_tunnels": gateway.open_tunnels.get(),
         "target_connections": gateway.pool.total_open(),
         "suspected": state.poison.len(),
         "condemned": condemned,
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -23,6 +23,7 @@
         http_listener::{ListenerState, serve_listener},
         response::{IncompleteResponse, ResponseBody, text_response},
         serve_call,
+        tunnel_server::serve_tunnels,
     },
     settings::GatewaySettings,
     socket_options::SlowPeerOptions,
@@ -31,6 +32,7 @@
         grant_sync::sync_grants,
         membership::watch_members,
         origin_sync::{read_origins, write_origins},
+        path_probes::probe_paths,
         peer_exchange::{broadcast_load, receive_datagrams},
         shutdown,
         target_watch::watch_targets,
@@ -128,6 +130,11 @@
             receive_datagrams(gateway, Rc::clone(&peers))
         });
         self.spawn_duty("load", broadcast_load);
+        let tunnels = Rc::new(bind("tunnels", self.settings.peer_address.into())?);
+        self.spawn_duty("tunnels", move |gateway| {
+            serve_tunnels(gateway, Rc::clone(&tunnels))
+        });
+        self.spawn_duty("paths", probe_paths);
 
         let subscribe = || self.listener_state.subscribe();
         let gateway = Rc::clone(self);
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod keyed_log;
 pub mod limits;
 pub mod overload;
+pub mod paths;
 pub mod peers;
 pub mod placement;
 pub mod poison;
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -6,6 +6,7 @@
 use crate::{
     binary_format,
     budget::PeerRecovery,
+    paths::TunnelRequest,
     placement::Departure,
     poison::{Fingerprint, PoisonVerdict},
     streams::StreamOrigin,
@@ -113,6 +114,10 @@
     Condemned(PoisonVerdict),
     /// Tells of targets that leave, as the sender has read it from the store.
     Departures(Vec<Departure>),
+    /// Tells whether the sender reaches some targets only by way of other gateways.
+    CutOff(bool),
+    /// Asks for a tunnel to a target. The first message on a connection, not sent as a datagram.
+    OpenTunnel(TunnelRequest),
 }
 
 /// A message and its sender.
--- a/crates/toucan_gateway/src/peers/member.rs
+++ b/crates/toucan_gateway/src/peers/member.rs
@@ -4,7 +4,7 @@
 
 use toucan_types::{DataCentreName, FastHashMap, VmName};
 
-use crate::{binary_format, budget::PeerRecovery, overload::UtilisationReport};
+use crate::{binary_format, budget::PeerRecovery, overload::UtilisationReport, paths::TunnelPeer};
 
 use super::{GatewayLocation, permit_share::MajorityWatch};
 
@@ -12,6 +12,10 @@
 pub(super) const LIVENESS_TIMEOUT_MS: u64 = 5_000;
 /// Time since its last datagram for which a gateway may hold tokens that a restored store lost.
 const RECOVERING_MS: u64 = 20_000;
+/// Time since its last datagram for which a gateway is asked for tunnels to targets.
+const TUNNEL_SILENCE_MS: u64 = 3_000;
+/// Time for which a gateway that has told that it is cut off counts as such.
+const CUT_OFF_MS: u64 = 1_500;
 /// Time since its last datagram after which a gateway no longer counts at all. VMs that were
 /// replaced stay registered and would otherwise keep a share of the fleet's limits forever.
 pub(super) const MEMBER_EXPIRY_MS: u64 = 600_000;
@@ -60,6 +64,8 @@
     pub(crate) recovery: PeerRecovery,
     /// Its utilisation; [`None`] before its first report.
     pub(crate) utilisation: Option<UtilisationReport>,
+    /// When it last told that it is cut off from targets; [`None`] if it is not.
+    pub(crate) cut_off_at_ms: Option<u64>,
 }
 
 impl Member {
@@ -90,6 +96,7 @@
             last_seen_ms: now_ms,
             recovery: PeerRecovery::default(),
             utilisation: None,
+            cut_off_at_ms: None,
         };
         self.by_vm.insert(vm, member);
     }
@@ -149,6 +156,20 @@
             .collect()
     }
 
+    /// Returns the live gateways that may reach targets which the one at `local` does not.
+    pub(crate) fn tunnel_peers(&self, local: &GatewayLocation, now_ms: u64) -> Vec<TunnelPeer> {
+        self.seen_within(TUNNEL_SILENCE_MS, now_ms)
+            .map(|(vm, member)| TunnelPeer {
+                vm: vm.clone(),
+                is_neighbour: member.entry.data_centre == local.data_centre,
+                is_cut_off: member
+                    .cut_off_at_ms
+                    .is_some_and(|at_ms| now_ms <= at_ms + CUT_OFF_MS),
+                utilisation_permille: member.utilisation.map(|report| report.utilisation_permille),
+            })
+            .collect()
+    }
+
     /// Returns the number of gateways that share the fleet's limits, including this one.
     ///
     /// A gateway that hears from a majority assumes that the others have ended or are a minority
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -6,18 +6,21 @@
 use displaydoc::Display;
 use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
-use tokio::time::timeout;
+use tokio::{net::TcpStream, time::timeout};
 use toucan_types::{FastHashMap, TargetName};
 
 use crate::{
     clock::boot_time_ms,
     config::TargetEntry,
-    http_connection::{ConnectError, connect_http_with},
+    http_connection::{ConnectError, connect_tcp, start_http},
     overload::{ConnectResult, LinkMonitor},
+    paths::{DirectResult, Path, PathTable, TunnelResult},
     placement::CallOutcome,
     socket_options::SlowPeerOptions,
 };
 
+use super::tunnel_client::{TunnelConnector, TunnelFailure};
+
 /// Maximum wait until an idle connection is ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// Idle timeout of connections to targets that announce none.
@@ -25,6 +28,10 @@
 /// Time before the idle timeout at which a connection is no longer used, so that the target does
 /// not close it under a request.
 const IDLE_MARGIN_MS: u64 = 500;
+/// Idle timeout of connections by way of other gateways, which end soon after a cut is over.
+const TUNNEL_IDLE_MS: u64 = 1_500;
+/// Timeout of a connect that is tried by way of another gateway next, or that looks whether a cut is over.
+const PROBE_TIMEOUT_MS: u64 = 250;
 /// Maximum number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 32;
 
@@ -95,6 +102,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionPool {
     link: RefCell<LinkMonitor>,
+    paths: RefCell<PathTable>,
+    /// Targets whose failures were recorded before it was found that this VM is cut off from them.
+    cut_off: RefCell<Vec<TargetName>>,
     by_target: RefCell<FastHashMap<TargetName, TargetConnections>>,
     /// Options of connections to targets that may read slowly.
     slow_peer_options: Option<SlowPeerOptions>,
@@ -119,6 +129,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has served a call before.
     pub(crate) is_reused: bool,
+    /// Whether it goes by way of another gateway.
+    pub(crate) is_tunnelled: bool,
     address: SocketAddrV4,
     started_at_unix_ms: u64,
     _open: OpenGuard,
@@ -165,6 +177,7 @@
         max_open: u32,
         left_ms: u64,
         now_ms: u64,
+        tunnels: &impl TunnelConnector,
     ) -> Result<TargetConnection, CheckoutError> {
         while let Some(mut connection) = self.take_idle(target, now_ms) {
             if let Ok(Ok(())) = timeout(READY_TIMEOUT, connection.sender.ready()).await {
@@ -174,10 +187,11 @@
         if self.open(&target.name) >= max_open {
             return Err(CheckoutError::Exhausted);
         }
-        Ok(self.connect(target, left_ms).await?)
+        Ok(self.connect(target, left_ms, tunnels).await?)
     }
 
-    /// Opens a connection to the target and keeps it for a later call.
+    /// Opens a connection to the target and keeps it for a later call. If this VM cannot connect to the target,
+    /// another gateway is asked whether it can.
     ///
     /// # Errors
     ///
@@ -186,8 +200,16 @@
         self: &Rc<Self>,
         target: &TargetEntry,
         now_ms: u64,
+        tunnels: &impl TunnelConnector,
     ) -> Result<(), ConnectFailure> {
-        let mut connection = self.connect(target, u64::MAX).await?;
+        let mut connection = match self.connect_directly(target, u64::MAX, true).await {
+            Ok(connection) => connection,
+            Err(failure) if failure.error.is_of_peer() => {
+                let tunnelled = self.connect_by_tunnel(target, tunnels).await;
+                tunnelled.ok_or(failure)?
+            }
+            Err(failure) => return Err(failure),
+        };
         // The driver of a new connection reports it as ready once it has run.
         let _ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
         self.check_in(&target.name, connection, None, now_ms);
@@ -206,6 +228,11 @@
             return;
         }
         let idle_ms = keep_alive.map_or(DEFAULT_IDLE_MS, |time| time.as_millis() as u64);
+        let idle_ms = if connection.is_tunnelled {
+            idle_ms.min(TUNNEL_IDLE_MS)
+        } else {
+            idle_ms
+        };
         connection.is_reused = true;
         let idle = IdleConnection {
             connection,
@@ -264,7 +291,53 @@
 
     /// Takes the targets whose failures were recorded before it was found that this VM is the cause.
     pub(crate) fn take_excused(&self) -> Vec<TargetName> {
-        self.link.borrow_mut().take_excused()
+        let mut excused = self.link.borrow_mut().take_excused();
+        excused.append(&mut self.cut_off.borrow_mut());
+        excused
+    }
+
+    /// Returns whether this VM reaches some targets only by way of other gateways.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        self.paths.borrow().is_cut(boot_time_ms())
+    }
+
+    /// Returns the way to a target.
+    pub(crate) fn path_to(&self, target: &TargetEntry) -> Path {
+        self.paths.borrow().path_to(target, boot_time_ms())
+    }
+
+    /// Returns the target to which a connect is due that finds out whether a cut is over.
+    pub(crate) fn next_probe(&self) -> Option<TargetName> {
+        self.paths.borrow_mut().next_probe(boot_time_ms())
+    }
+
+    /// Forgets the ways to targets for which `is_known` returns false.
+    pub(crate) fn retain_paths(&self, is_known: impl Fn(&TargetName) -> bool) {
+        self.paths.borrow_mut().retain(is_known);
+    }
+
+    /// Connects to a target, and not by way of another gateway. Records the result as evidence of the way to it.
+    pub(crate) async fn connect_tcp_directly(
+        &self,
+        target: &TargetEntry,
+        timeout_ms: u64,
+    ) -> Result<TcpStream, ConnectFailure> {
+        let began_ms = boot_time_ms();
+        let timeout = Duration::from_millis(timeout_ms);
+        let connected = connect_tcp(target.address, timeout, self.slow_peer_options).await;
+        let result = match &connected {
+            Ok(_stream) => Some(DirectResult::Connected),
+            Err(error) if error.is_of_peer() => Some(DirectResult::Failed),
+            Err(_) => None,
+        };
+        if let Some(result) = result {
+            let paths = &mut *self.paths.borrow_mut();
+            let reached = paths.record_direct(target, result, boot_time_ms());
+            if !reached.is_empty() {
+                log::info!(target: "pool", name = target.name.as_str(), targets = reached.len(); "this VM is connected to targets directly again");
+            }
+        }
+        self.record_connect(target, connected, began_ms)
     }
 
     fn record_connect<T>(
@@ -317,8 +390,10 @@
 
     /// Takes the most recently used idle connection.
     ///
-    /// Closes expired ones and those to a former address or process of the target.
+    /// Closes expired ones, those to a former address or process of the target, and those that go another way than
+    /// new ones.
     fn take_idle(&self, target: &TargetEntry, now_ms: u64) -> Option<TargetConnection> {
+        let is_tunnelled = self.path_to(target) == Path::Tunnel;
         loop {
             let idle = self
                 .by_target
@@ -326,7 +401,8 @@
                 .get_mut(&target.name)?
                 .idle
                 .pop()?;
-            let is_same = idle.connection.address == target.address
+            let is_same = idle.connection.is_tunnelled == is_tunnelled
+                && idle.connection.address == target.address
                 && idle.connection.started_at_unix_ms == target.started_at_unix_ms;
             if is_same && now_ms < idle.usable_until_ms && !idle.connection.sender.is_closed() {
                 return Some(idle.connection);
@@ -334,36 +410,114 @@
         }
     }
 
+    /// Connects to the target by the way that is known to work, and by way of another gateway if it turns out that
+    /// this VM is cut off.
     async fn connect(
         self: &Rc<Self>,
         target: &TargetEntry,
         left_ms: u64,
+        tunnels: &impl TunnelConnector,
     ) -> Result<TargetConnection, ConnectFailure> {
-        // Count the connection before it is established, so that concurrent calls keep the limit.
-        self.by_target
-            .borrow_mut()
-            .entry(target.name.clone())
-            .or_default()
-            .open += 1;
-        let open = OpenGuard {
-            pool: Rc::clone(self),
-            target: target.name.clone(),
+        let path = self.path_to(target);
+        if path == Path::Tunnel
+            && let Some(connection) = self.connect_by_tunnel(target, tunnels).await
+        {
+            return Ok(connection);
+        }
+        let may_tunnel = path != Path::Direct && tunnels.has_tunnel();
+        let failure = match self.connect_directly(target, left_ms, may_tunnel).await {
+            Ok(connection) => return Ok(connection),
+            Err(failure) => failure,
         };
-        let began_ms = boot_time_ms();
-        let timeout_ms = {
+        if path == Path::Tunnel
+            || !failure.error.is_of_peer()
+            || self.path_to(target) == Path::Direct
+        {
+            return Err(failure);
+        }
+        self.connect_by_tunnel(target, tunnels).await.ok_or(failure)
+    }
+
+    async fn connect_directly(
+        self: &Rc<Self>,
+        target: &TargetEntry,
+        left_ms: u64,
+        may_tunnel: bool,
+    ) -> Result<TargetConnection, ConnectFailure> {
+        let open = self.count_open(target);
+        let timeout_ms = if may_tunnel {
+            PROBE_TIMEOUT_MS
+        } else {
             let link = &mut *self.link.borrow_mut();
-            link.connect_timeout_ms(left_ms, began_ms)
+            link.connect_timeout_ms(left_ms, boot_time_ms())
         };
-        let timeout = Duration::from_millis(timeout_ms);
-        let connected = connect_http_with(target.address, timeout, self.slow_peer_options).await;
-        let sender = self.record_connect(target, connected, began_ms)?;
-        metrics::counter!("toucan_target_connections_total").increment(1);
+        let began_ms = boot_time_ms();
+        let stream = self.connect_tcp_directly(target, timeout_ms).await?;
+        let sender = start_http(stream, self.slow_peer_options).await;
+        let sender = sender.map_err(|error| ConnectFailure {
+            error,
+            took_ms: boot_time_ms().saturating_sub(began_ms),
+            is_local: false,
+        })?;
+        metrics::counter!("toucan_target_connections_total", "path" => "direct").increment(1);
         Ok(TargetConnection {
             sender,
             is_reused: false,
+            is_tunnelled: false,
             address: target.address,
             started_at_unix_ms: target.started_at_unix_ms,
             _open: open,
         })
     }
+
+    /// Connects to the target by way of another gateway; [`None`] if none can help.
+    async fn connect_by_tunnel(
+        self: &Rc<Self>,
+        target: &TargetEntry,
+        tunnels: &impl TunnelConnector,
+    ) -> Option<TargetConnection> {
+        let open = self.count_open(target);
+        let connected = tunnels.connect(target).await;
+        let result = match &connected {
+            Ok(_stream) => Some(TunnelResult::Connected),
+            Err(TunnelFailure::TargetUnreachable) => Some(TunnelResult::Failed),
+            Err(TunnelFailure::NoTunnel) => None,
+        };
+        if let Some(result) = result {
+            self.record_tunnelled(target, result);
+        }
+        let sender = start_http(connected.ok()?, self.slow_peer_options).await;
+        metrics::counter!("toucan_target_connections_total", "path" => "tunnel").increment(1);
+        Some(TargetConnection {
+            sender: sender.ok()?,
+            is_reused: false,
+            is_tunnelled: true,
+            address: target.address,
+            started_at_unix_ms: target.started_at_unix_ms,
+            _open: open,
+        })
+    }
+
+    fn record_tunnelled(&self, target: &TargetEntry, result: TunnelResult) {
+        let paths = &mut *self.paths.borrow_mut();
+        let mut cut_off = paths.record_tunnelled(target, result, boot_time_ms());
+        if !cut_off.is_empty() {
+            metrics::counter!("toucan_cuts_total").increment(1);
+            log::warn!(target: "pool", name = target.name.as_str(), targets = cut_off.len(); "other gateways reach targets that this VM does not, it connects to them by way of these");
+            self.cut_off.borrow_mut().append(&mut cut_off);
+        }
+    }
+
+    /// Counts a connection before it is established, so that concurrent calls keep the limit.
+    fn count_open(self: &Rc<Self>, target: &TargetEntry) -> OpenGuard {
+        self.by_target
+            .borrow_mut()
+            .entry(target.name.clone())
+            .or_default()
+            .open += 1;
+        OpenGuard {
+            pool: Rc::clone(self),
+            target: target.name.clone(),
+        }
+    }
 }
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -24,7 +24,9 @@
     wire_format::{ResponseHead, WireFormat},
 };
 
-use super::{ConnectionPool, TargetConnection, body_framing::BodyFraming};
+use super::{
+    ConnectionPool, TargetConnection, body_framing::BodyFraming, tunnel_client::TunnelConnector,
+};
 
 /// Maximum number of heads that announce another one, such as early hints, before the head of a response.
 const MAX_INFORMATIONAL_HEADS: u32 = 16;
@@ -97,6 +99,7 @@
     format: &impl WireFormat,
     pool: &Rc<ConnectionPool>,
     exchange: Exchange<'_>,
+    tunnels: &impl TunnelConnector,
     may_still_send: impl Fn() -> bool,
 ) -> Result<OpenResponse, SendFailure> {
     let began_at = Instant::now();
@@ -105,6 +108,7 @@
         exchange.max_connections,
         exchange.left_ms,
         exchange.now_ms,
+        tunnels,
     );
     let connection = checkout.await;
     let connect_time = began_at.elapsed();
@@ -147,7 +151,9 @@
         Some(_unsent) => SendFailure::NotSent(CallOutcome::Broken),
         None => SendFailure::MayHaveRun(CallOutcome::of_connection_error(error.error())),
     })?;
-    pool.record_response(exchange.target, sent_at.elapsed().as_millis() as u64);
+    if !connection.is_tunnelled {
+        pool.record_response(exchange.target, sent_at.elapsed().as_millis() as u64);
+    }
     let (parts, body) = response.into_parts();
     let head = format.read_response(parts.status, &parts.headers);
     let is_of_other_call = head.id.as_ref().is_some_and(|id| id != exchange.id);
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -21,6 +21,8 @@
 mod resumption;
 mod send;
 mod serve_call;
+pub(crate) mod tunnel_client;
+pub(crate) mod tunnel_server;
 
 pub(crate) use call::Call;
 pub(crate) use connection_pool::{ConnectionPool, TargetConnection};
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -31,6 +31,7 @@
     permit_wait::take_permit,
     poison_trial::check_poison,
 };
+use crate::tasks::path_probes::spawn_path_check;
 
 /// A usable response of a target.
 pub(crate) enum TargetResponse<P: Platform> {
@@ -210,7 +211,15 @@
     };
     tracker.mark_may_have_run();
     let may_still_send = || is_still_eligible(gateway, call, target);
-    let exchanged = send_request(&gateway.platform, &gateway.pool, exchange, may_still_send).await;
+    let exchanged = send_request(
+        &gateway.platform,
+        &gateway.pool,
+        exchange,
+        &**gateway,
+        may_still_send,
+    )
+    .await;
+    excuse_failed_connects(gateway);
     tracker.log.record_held(held_ms);
     apply_notice(gateway, target, notice, now_ms);
     let received = match exchanged {
@@ -251,6 +260,9 @@
         Err(failure) => {
             in_flight_call.record_outcome(failure.call_outcome());
             excuse_failed_connects(gateway);
+            if failure == SendFailure::MayHaveRun(CallOutcome::Lost) {
+                spawn_path_check(gateway, target);
+            }
             if failure == SendFailure::MayHaveRun(CallOutcome::Broken) {
                 in_flight_call.record_broken(call);
                 tracker.record_broken();
--- /dev/null
+++ b/crates/toucan_gateway/src/serving/tunnel_server.rs
@@ -0,0 +1,183 @@
+//! Connects to targets for gateways that are cut off from them.
+
+use std::{cell::Cell, io, rc::Rc, time::Duration};
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, copy},
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    Gateway, Platform,
+    config::TargetEntry,
+    paths::{Path, TunnelRequest, TunnelStatus},
+    peers::{Datagram, PeerMessage},
+    socket_options::set_liveness_options,
+    tasks::peer_exchange::sender_key,
+};
+
+/// Pause after a failed accept, for example when the process is out of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Timeout for reading a request.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
+/// Timeout for connecting to the target.
+const CONNECT_TIMEOUT_MS: u64 = 250;
+/// Maximum size of a request.
+const MAX_REQUEST_BYTES: u16 = 1_024;
+/// Maximum number of connections for other gateways, if the settings state no limit on open files.
+const DEFAULT_MAX_TUNNELS: u32 = 256;
+/// Part of the open files that connections for other gateways may take. Each takes two.
+const OPEN_FILES_PER_TUNNEL: u32 = 8;
+
+/// Serves the gateways that ask for connections to targets, until the process ends.
+pub(crate) async fn serve_tunnels<P: Platform>(gateway: Rc<Gateway<P>>, listener: Rc<TcpListener>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                spawn_local(serve(Rc::clone(&gateway), stream));
+            }
+            Err(error) => {
+                log::warn!(target: "listener", name = "tunnels", error:% = error; "a connection was not accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Guard that counts a connection for another gateway.
+struct TunnelGuard<'a>(&'a Cell<u32>);
+
+impl<'a> TunnelGuard<'a> {
+    fn new(count: &'a Cell<u32>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for TunnelGuard<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+async fn serve<P: Platform>(gateway: Rc<Gateway<P>>, mut caller: TcpStream) {
+    let has_room = gateway.open_tunnels.get() < max_tunnels(&gateway);
+    let _counted = TunnelGuard::new(&gateway.open_tunnels);
+    if let Err(error) = set_liveness_options(&caller) {
+        log::debug!(target: "listener", name = "tunnels", error:% = error; "socket options cannot be set, the connection is closed");
+        return;
+    }
+    let read = timeout(REQUEST_TIMEOUT, read_request(&gateway, &mut caller)).await;
+    let Ok(Ok(request)) = read else {
+        metrics::counter!("toucan_refused_tunnels_total", "reason" => "unreadable").increment(1);
+        return;
+    };
+    let connected = if has_room {
+        connect(&gateway, &request).await
+    } else {
+        Err(TunnelStatus::Unavailable)
+    };
+    match connected {
+        Ok(target) => {
+            metrics::counter!("toucan_tunnels_total").increment(1);
+            if caller
+                .write_u8(TunnelStatus::Connected.to_byte())
+                .await
+                .is_ok()
+            {
+                join(caller, target).await;
+            }
+        }
+        Err(status) => {
+            metrics::counter!("toucan_refused_tunnels_total", "reason" => "no_connection")
+                .increment(1);
+            // The asking gateway takes a closed connection as a refusal too.
+            let _sent = caller.write_u8(status.to_byte()).await;
+        }
+    }
+}
+
+fn max_tunnels<P: Platform>(gateway: &Gateway<P>) -> u32 {
+    let max_open_files = gateway.settings.resources.max_open_files;
+    max_open_files.map_or(DEFAULT_MAX_TUNNELS, |files| files / OPEN_FILES_PER_TUNNEL)
+}
+
+/// Reads the request of a registered gateway to this process.
+async fn read_request<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    caller: &mut TcpStream,
+) -> io::Result<TunnelRequest> {
+    let length = caller.read_u16().await?;
+    if length > MAX_REQUEST_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = vec![0; usize::from(length)];
+    caller.read_exact(&mut bytes).await?;
+    let decoded = Datagram::decode(&bytes, |vm, start| sender_key(gateway, vm, start));
+    match decoded.map_err(io::Error::other)?.message {
+        PeerMessage::OpenTunnel(request) if request.receiver_start == gateway.start_id() => {
+            Ok(request)
+        }
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
+
+async fn connect<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    request: &TunnelRequest,
+) -> Result<TcpStream, TunnelStatus> {
+    let target = known_target(gateway, request).ok_or(TunnelStatus::TargetUnknown)?;
+    // A gateway that is cut off itself does not ask a third one, so no request goes round in circles.
+    if gateway.pool.path_to(&target) == Path::Tunnel || gateway.refuses_new_calls() {
+        return Err(TunnelStatus::Unavailable);
+    }
+    let connected = gateway
+        .pool
+        .connect_tcp_directly(&target, CONNECT_TIMEOUT_MS);
+    connected
+        .await
+        .map_err(|_failure| TunnelStatus::TargetUnreachable)
+}
+
+fn known_target<P: Platform>(
+    gateway: &Gateway<P>,
+    request: &TunnelRequest,
+) -> Option<Rc<TargetEntry>> {
+    let state = gateway.state.borrow();
+    let target = state.targets.get(&request.target)?;
+    let is_same_start = target.entry.started_at_unix_ms == request.started_at_unix_ms;
+    is_same_start.then(|| Rc::clone(&target.entry))
+}
+
+/// Passes bytes on in both directions until one of the connections ends.
+///
+/// The end of an answer is passed on as what it was: a connection that the target closes is closed, one that
+/// breaks is reset. A cut-off answer without a length would otherwise look complete.
+async fn join(mut caller: TcpStream, mut target: TcpStream) {
+    let is_complete = {
+        let (mut from_caller, mut to_caller) = caller.split();
+        let (mut from_target, mut to_target) = target.split();
+        let answers = async {
+            copy(&mut from_target, &mut to_caller).await?;
+            to_caller.shutdown().await
+        };
+        tokio::select! {
+            answers = answers => answers.is_ok(),
+            // The asking gateway has closed the connection, or it broke.
+            _requests = copy(&mut from_caller, &mut to_target) => false,
+        }
+    };
+    if !is_complete {
+        reset(&caller);
+        reset(&target);
+    }
+}
+
+/// Makes a connection send a reset when it is dropped.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!(target: "pool", error:% = error; "a tunnelled connection ends without a reset");
+    }
+}
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod membership;
 pub(crate) mod origin_sync;
 mod partition_consumer;
+pub(crate) mod path_probes;
 pub(crate) mod peer_exchange;
 pub(crate) mod shutdown;
 mod store_health;
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -160,7 +160,7 @@
     }
 }
 
-fn sender_key<P: Platform>(
+pub(crate) fn sender_key<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     vm: &VmName,
     start_id: u64,
@@ -268,6 +268,15 @@
                 member.recovery = recovery;
             }
         }
+        PeerMessage::CutOff(is_cut_off) => {
+            if let Some(member) = gateway.state.borrow_mut().members.get_mut(&datagram.vm) {
+                member.cut_off_at_ms = is_cut_off.then_some(now_ms);
+            }
+        }
+        PeerMessage::OpenTunnel(_request) => {
+            // A request of a tunnel's connection. As a datagram it opens none.
+            log::debug!(target: "peers", vm = datagram.vm.as_str(); "a request for a tunnel came as a datagram");
+        }
         PeerMessage::Departures(departures) => {
             gateway.accept_departures(&departures, &datagram.vm);
         }
--- a/crates/toucan_gateway/src/tasks/target_check.rs
+++ b/crates/toucan_gateway/src/tasks/target_check.rs
@@ -47,7 +47,10 @@
     instance: TargetInstance,
 ) {
     sleep(GATHER_TIME).await;
-    let connected = gateway.pool.connect_idle(&target, gateway.now_ms()).await;
+    let pool = &gateway.pool;
+    let connected = pool
+        .connect_idle(&target, gateway.now_ms(), &*gateway)
+        .await;
     let Some(end) = gateway.state.borrow_mut().broken_calls.take(&instance) else {
         return;
     };
