--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -212,6 +212,8 @@
             })
         };
         gateway.pool.sweep(is_in_use, gateway.now_ms());
+        let is_known = |name: &TargetName| gateway.state.borrow().targets.get(name).is_some();
+        gateway.pool.retain_paths(is_known);
     }
 }
 
--- a/crates/toucan_gateway/src/paths/path_evidence.rs
+++ b/crates/toucan_gateway/src/paths/path_evidence.rs
@@ -4,6 +4,9 @@
 
 use crate::config::TargetEntry;
 
+/// Age up to which a tunnel shows that its target lives.
+const TUNNEL_EVIDENCE_MS: u64 = 6_000;
+
 /// Result of a connect from this VM to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DirectResult {
@@ -59,10 +62,12 @@
         self.failures > 0 && self.failed_at_ms >= since_ms
     }
 
-    /// Returns whether another gateway has reached the target since this VM does not.
-    pub(super) const fn is_reached_by_others(&self) -> bool {
-        self.failures > 0
-            && matches!(self.tunnelled, Some((TunnelResult::Connected, at_ms)) if at_ms >= self.failing_since_ms)
+    /// Returns whether another gateway has lately reached the target, which this VM does not.
+    pub(super) const fn is_reached_by_others(&self, now_ms: u64) -> bool {
+        let Some((TunnelResult::Connected, at_ms)) = self.tunnelled else {
+            return false;
+        };
+        self.failures > 0 && at_ms >= self.failing_since_ms && now_ms <= at_ms + TUNNEL_EVIDENCE_MS
     }
 
     /// Records a connect from this VM that failed.
@@ -74,11 +79,23 @@
         self.failed_at_ms = now_ms;
     }
 
+    /// Returns when another gateway last tried to reach the target; 0 if none has.
+    pub(super) fn tunnelled_at_ms(&self) -> u64 {
+        self.tunnelled.map_or(0, |(_result, at_ms)| at_ms)
+    }
+
+    /// Returns when a connect from this VM was last tried; 0 if none was.
+    pub(super) fn tried_at_ms(&self) -> u64 {
+        let connected_ms = self.connected_at_ms.unwrap_or(0);
+        self.failed_at_ms.max(connected_ms).max(self.probed_at_ms)
+    }
+
     /// Returns the time of the latest evidence.
     pub(super) fn latest_ms(&self) -> u64 {
-        let relayed_ms = self.tunnelled.map_or(0, |(_result, at_ms)| at_ms);
         let connected_ms = self.connected_at_ms.unwrap_or(0);
-        self.failed_at_ms.max(relayed_ms).max(connected_ms)
+        self.failed_at_ms
+            .max(self.tunnelled_at_ms())
+            .max(connected_ms)
     }
 
     /// Forgets the failed connects, after it was found that the cut is over.
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -306,9 +306,9 @@
         self.paths.borrow().path_to(target, boot_time_ms())
     }
 
-    /// Returns the target to which a connect is due that finds out whether a cut is over.
-    pub(crate) fn next_probe(&self) -> Option<TargetName> {
-        self.paths.borrow_mut().next_probe(boot_time_ms())
+    /// Returns the targets to which connects are due that find out whether a cut is over.
+    pub(crate) fn next_probes(&self) -> Vec<TargetName> {
+        self.paths.borrow_mut().next_probes(boot_time_ms())
     }
 
     /// Forgets the ways to targets for which `is_known` returns false.
--- a/crates/toucan_gateway/src/tasks/path_probes.rs
+++ b/crates/toucan_gateway/src/tasks/path_probes.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use futures_util::future::join_all;
 use tokio::time::sleep;
 use toucan_types::TargetName;
 
@@ -27,20 +28,17 @@
             gateway.tell_all(PeerMessage::CutOff(is_cut_off));
             told = (is_cut_off, now_ms);
         }
-        if let Some(name) = gateway.pool.next_probe() {
-            probe(&gateway, &name).await;
-        }
+        let probes = gateway.pool.next_probes().into_iter();
+        join_all(probes.map(|name| probe(&gateway, name))).await;
     }
 }
 
-async fn probe<P: Platform>(gateway: &Rc<Gateway<P>>, name: &TargetName) {
+async fn probe<P: Platform>(gateway: &Rc<Gateway<P>>, name: TargetName) {
     let entry = {
         let state = gateway.state.borrow();
-        let is_known = |name: &TargetName| state.targets.get(name).is_some();
-        gateway.pool.retain_paths(is_known);
         state
             .targets
-            .get(name)
+            .get(&name)
             .map(|target| Rc::clone(&target.entry))
     };
     if let Some(entry) = entry {
