Pass over records of other writers that cannot be read, and ignore starts in the future

What operators reported: one odd entry among those of the targets ended the processes that read the list, or stopped their following it. Deep nesting, numbers too large and ports out of range were refused without harm before.

--- a/crates/toucan_gateway/src/clock.rs
+++ b/crates/toucan_gateway/src/clock.rs
@@ -10,3 +10,10 @@
     let milliseconds = u64::try_from(time.tv_nsec / 1_000_000).unwrap_or(0);
     seconds * 1_000 + milliseconds
 }
+
+/// Returns the milliseconds since the Unix epoch, by the clock of this VM.
+#[must_use]
+pub(crate) fn unix_time_ms() -> u64 {
+    let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since_epoch.map_or(0, |time| time.as_millis() as u64)
+}
--- a/crates/toucan_gateway/src/tasks/partition_consumer.rs
+++ b/crates/toucan_gateway/src/tasks/partition_consumer.rs
@@ -71,7 +71,8 @@
     ///
     /// # Errors
     ///
-    /// [`ReadError`] if nothing was read. The next call continues at the same offset.
+    /// [`ReadError`] if nothing was read. The next call continues at the same offset, or with a snapshot if the
+    /// records cannot be decoded.
     pub(crate) async fn read(
         &mut self,
         log: &impl KeyedLog,
@@ -100,7 +101,13 @@
                 Err(ReadError::Expired) => {
                     log::info!(target: "store", partition:? = self.partition, next = next.0; "the records have expired, a snapshot is read instead");
                 }
-                Err(error) => return Err(error),
+                Err(error) => {
+                    if matches!(error, ReadError::Unreadable(_)) {
+                        // The same read would fail again.
+                        self.restart();
+                    }
+                    return Err(error);
+                }
             }
         }
         self.read_snapshot(log).await
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     Gateway, Platform,
+    clock::unix_time_ms,
     keyed_log::{ReadRecord, Topic},
     placement::{Departure, DeregistrationGrace, RecordPlace, TargetChange},
 };
@@ -19,6 +20,10 @@
 /// Interval between two reads. Targets write often, and one read returns the records of all.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time by which the clocks of targets may be ahead. An entry with a later start would shut out the target that has
+/// the id.
+const MAX_CLOCK_SKEW_MS: u64 = 3_600_000;
+
 /// Applies the targets' registrations until the process ends.
 pub(crate) async fn watch_targets<P: Platform>(gateway: Rc<Gateway<P>>) {
     let mut consumer = PartitionConsumer::new(Topic::Targets, 0);
@@ -88,6 +93,11 @@
             return;
         }
     };
+    if entry.started_at_unix_ms > unix_time_ms() + MAX_CLOCK_SKEW_MS {
+        metrics::counter!("toucan_unreadable_targets_total").increment(1);
+        log::debug!(target: "target", key = read.record.key.as_str(), offset = read.offset.0, started_at_unix_ms = entry.started_at_unix_ms; "a target registration starts in the future and is ignored");
+        return;
+    }
     if kind == BatchKind::Appended {
         gateway.record_registration(&entry.instance());
     }
