Believe a refusal that names no call on a fresh connection alone

What operators reported: a target wrote an earlier refusal once more on a kept connection, and callers were told that a call which ran was not run and may be sent again. It could happen here: a refusal with the id of another call was rejected, one without any id was believed. Change: on a connection that has served a call before, a refusal, a throttle or a wrong-target answer has to name the call. Otherwise the call may have run and the connection is closed.

--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -160,10 +160,12 @@
     // Another process at the target's address answers that it is the wrong one.
     let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     let is_of_target = !is_of_other_call && !is_misdirected;
+    // On a kept connection an answer without an id may be a second copy of an earlier one.
+    let is_attributable = !is_of_other_call && (head.id.is_some() || !connection.is_reused);
     *exchange.notice = TargetNotice {
         is_leaving: head.is_leaving,
-        is_replaced: is_misdirected && !is_of_other_call,
-        throttle: head.throttle,
+        is_replaced: is_misdirected && is_attributable,
+        throttle: head.throttle.filter(|_throttle| is_attributable),
         limit: is_of_target.then_some(head.limit),
     };
     if is_of_other_call {
@@ -173,6 +175,10 @@
         return Err(SendFailure::MayHaveRun(CallOutcome::Broken));
     }
     if head.not_run {
+        if !is_attributable {
+            log::warn!(target: "call", id = exchange.id.as_str(), name = exchange.target.name.as_str(); "a refusal on a kept connection names no call and may be an earlier one");
+            return Err(SendFailure::MayHaveRun(CallOutcome::Broken));
+        }
         return Err(SendFailure::NotRun);
     }
     let keep_alive = keep_alive_timeout(&parts.headers);
