Pass on nothing but a continuation of a stream that broke off

What operators reported: after a stream had begun and broken off, the error of the next target, or its whole head, stood in the middle of the caller's stream, or the stream ended as if it were complete. Errors, refusals and empty answers were not passed on here; an answer with status 200 that is no continuation was: an error event without id, an event that the caller has, a head within the body. Change: after a resumption each event needs an id after the last one. Anything else is a target that broke off: it is not passed on, and the stream ends as incomplete or is resumed elsewhere.

--- a/crates/toucan_gateway/src/event_splitter.rs
+++ b/crates/toucan_gateway/src/event_splitter.rs
@@ -15,6 +15,9 @@
     line_start: usize,
     last_id: Option<String>,
     events: u64,
+    /// Whether another target resumed the stream, so that each event has to have an id after the last one.
+    is_resumed: bool,
+    is_discontinuous: bool,
 }
 
 /// Prefix of the line with the event's id.
@@ -36,7 +39,12 @@
             self.scanned = line_end + 1;
             self.line_start = self.scanned;
             if is_event_end {
-                self.record_event(complete_end, self.scanned);
+                let event = EventSummary::new(&self.pending[complete_end..self.scanned]);
+                if self.is_resumed && !event.follows(self.last_id.as_deref()) {
+                    self.is_discontinuous = true;
+                    break;
+                }
+                self.record_event(event);
                 complete_end = self.scanned;
             }
         }
@@ -63,8 +71,17 @@
         self.pending.split().freeze()
     }
 
+    /// Returns whether the last bytes are no continuation of the stream, such as an error of the target that was to
+    /// resume it. They are not among the events that were returned.
+    #[must_use]
+    pub const fn is_discontinuous(&self) -> bool {
+        self.is_discontinuous
+    }
+
     /// Discards the bytes after the last complete event, before another target resumes the stream.
     pub fn discard_partial(&mut self) {
+        self.is_resumed = self.last_id.is_some();
+        self.is_discontinuous = false;
         self.pending.clear();
         self.scanned = 0;
         self.line_start = 0;
@@ -88,23 +105,46 @@
         self.last_id.as_deref()
     }
 
-    fn record_event(&mut self, start: usize, end: usize) {
-        let Ok(text) = std::str::from_utf8(&self.pending[start..end]) else {
-            self.events += 1;
-            return;
+    fn record_event(&mut self, event: EventSummary) {
+        self.events += u64::from(event.has_data);
+        if event.id.is_some() {
+            self.last_id = event.id;
+        }
+    }
+}
+
+/// What an event is counted and resumed by.
+struct EventSummary {
+    id: Option<String>,
+    /// Whether it consists of more than comments.
+    has_data: bool,
+}
+
+impl EventSummary {
+    fn new(event: &[u8]) -> Self {
+        let Ok(text) = std::str::from_utf8(event) else {
+            return Self {
+                id: None,
+                has_data: true,
+            };
         };
-        let mut has_data = false;
-        let mut id = None;
-        for line in text.lines() {
-            if let Some(value) = line.strip_prefix(ID_FIELD) {
-                id = Some(value.trim().to_owned());
-            }
-            has_data |= !line.is_empty() && !line.starts_with(':');
+        let mut lines = text.lines();
+        let ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
+        Self {
+            id: ids.last().map(|id| id.trim().to_owned()),
+            has_data: lines.any(|line| !line.is_empty() && !line.starts_with(':')),
         }
-        if id.is_some() {
-            self.last_id = id;
+    }
+
+    /// Returns whether the event may come after the one with `last_id`. Ids increase.
+    fn follows(&self, last_id: Option<&str>) -> bool {
+        let (Some(id), Some(last_id)) = (&self.id, last_id) else {
+            return !self.has_data;
+        };
+        match (id.parse::<u64>(), last_id.parse::<u64>()) {
+            (Ok(id), Ok(last_id)) => id > last_id,
+            _ => id != last_id,
         }
-        self.events += u64::from(has_data);
     }
 }
 
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -63,6 +63,10 @@
                         source.in_flight_call.record_progress(&call);
                         yield relayed(&splitter, complete_events);
                     }
+                if splitter.is_discontinuous() {
+                    log::warn!(target: "call", id = call.id.as_str(), name = source.in_flight_call.target().as_str(); "the target was to resume the stream and sends something else, the connection is closed");
+                    break StreamEnd::Failed(CallOutcome::Broken);
+                }
                 if splitter.partial_event_bytes() > MAX_EVENT_BYTES {
                     log::warn!(target: "call", id = call.id.as_str(), name = source.in_flight_call.target().as_str(); "an event is larger than allowed, the connection is closed");
                     break StreamEnd::Failed(CallOutcome::Broken);
