Send brittle targets only what fits into their slots, from each gateway its share

Cause: full targets turn calls away, each rejection is tried at the next one, and nothing joins the rejections of all gateways. Class: a retry storm with metastable failure. Change: the notice is decoded and told to all.

--- a/crates/toucan_gateway/src/inspection.rs
+++ b/crates/toucan_gateway/src/inspection.rs
@@ -62,6 +62,7 @@
                     members.permit_share(&target.entry.name, &gateway.location, now_ms)
                 }),
                 "limit_stated_ms_ago": target.limit.rate().map(|_rate| target.limit.age_ms(now_ms)),
+                "brittle_rejections_per_s": target.brittle.rejections_per_s(),
                 "throttled_ms": target.throttled_until_ms.saturating_sub(now_ms),
                 "in_flight": target.own.in_flight,
                 "load": target.load(now_ms),
--- a/crates/toucan_gateway/src/lib.rs
+++ b/crates/toucan_gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod wire_format;
 
 mod binary_format;
+mod brittle_reports;
 mod clock;
 mod duty;
 mod error;
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -114,6 +114,22 @@
     Condemned(PoisonVerdict),
     /// Tells of targets that leave, as the sender has read it from the store.
     Departures(Vec<Departure>),
+    /// Tells that a target has begun to state that it is brittle, or does so no longer.
+    TargetBrittle {
+        /// Target.
+        target: TargetName,
+        /// Unix time of the target's start.
+        started_at_unix_ms: u64,
+        /// Calls that it may turn away in a second; [`None`] if it is no longer brittle.
+        rejections_per_s: Option<u32>,
+    },
+    /// Tells that a brittle target has turned away a call.
+    TargetRejects {
+        /// Target.
+        target: TargetName,
+        /// Unix time of the target's start.
+        started_at_unix_ms: u64,
+    },
     /// Tells whether the sender reaches some targets only by way of other gateways.
     CutOff(bool),
     /// Asks for a tunnel to a target. The first message on a connection, not sent as a datagram.
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     config::{EngineSettings, TargetEntry},
-    limits::{CallRate, LimitRecord, Permits},
+    limits::{BrittleRecord, CallRate, LimitRecord, Permits, SlotUse},
     overload::UrgencyTokens,
 };
 
@@ -36,6 +36,8 @@
     pub throttled_until_ms: u64,
     /// Limit on the calls from all VMs together.
     pub limit: LimitRecord,
+    /// Whether the target falls over when it turns away too many calls.
+    pub brittle: BrittleRecord,
     /// Time until which the target is cold.
     pub cold_until_ms: u64,
     /// Permits of this VM for calls to the target while it has a limit.
@@ -96,6 +98,7 @@
             is_replaced: false,
             throttled_until_ms: 0,
             limit: LimitRecord::default(),
+            brittle: BrittleRecord::default(),
             cold_until_ms: 0,
             permits: Permits::default(),
             usable_until_ms: None,
@@ -135,12 +138,28 @@
         self.is_in_service(now_ms) && self.pause_ms(now_ms) == 0
     }
 
-    /// Returns the time until the target takes calls of this VM, as far as throttling and its limit are
-    /// concerned.
+    /// Returns the time until the target takes calls of this VM, as far as throttling, its limit and its brittleness
+    /// are concerned.
     #[must_use]
     pub fn pause_ms(&self, now_ms: u64) -> u64 {
         let throttled_ms = self.throttled_until_ms.saturating_sub(now_ms);
-        throttled_ms.max(self.limited_ms(now_ms))
+        throttled_ms
+            .max(self.limited_ms(now_ms))
+            .max(self.brittle_ms(now_ms))
+    }
+
+    /// Returns the time until a brittle target may get a call; 0 for others.
+    #[must_use]
+    pub fn brittle_ms(&self, now_ms: u64) -> u64 {
+        if !self.brittle.is_brittle() {
+            return 0;
+        }
+        let calls = SlotUse {
+            slots: self.entry.slots,
+            own: self.own.in_flight,
+            all: self.load(now_ms),
+        };
+        self.brittle.pause_ms(calls, now_ms)
     }
 
     /// Returns the time until there may be a permit for a call to the target.
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -4,7 +4,10 @@
 
 use toucan_types::{DataCentreName, FastHashMap, ServiceName, SoftwareVersion, TargetName};
 
-use crate::{config::TargetEntry, limits::LimitRecord};
+use crate::{
+    config::TargetEntry,
+    limits::{BrittleRecord, LimitRecord},
+};
 
 use super::{
     CallOutcome, Departure, Exclusion, Reachability, RecordPlace, TargetScope, TargetState,
@@ -219,6 +222,16 @@
         (target.entry.started_at_unix_ms == started_at_unix_ms).then_some(&mut target.limit)
     }
 
+    /// Returns what is known of the brittleness of a target in the start that began at `started_at_unix_ms`.
+    pub fn brittle_mut(
+        &mut self,
+        name: &TargetName,
+        started_at_unix_ms: u64,
+    ) -> Option<&mut BrittleRecord> {
+        let target = self.by_name.get_mut(name)?;
+        (target.entry.started_at_unix_ms == started_at_unix_ms).then_some(&mut target.brittle)
+    }
+
     /// Returns why no target in service that runs `software_version`, or any version if it is [`None`], may
     /// get a call; [`None`] if one may or none is in service.
     #[must_use]
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -65,6 +65,10 @@
     /// What it states about a limit on its calls; [`None`] if the response is not its own answer to the
     /// call.
     pub(crate) limit: Option<StatedLimit>,
+    /// Calls that it may turn away in a second; [`None`] if it states none, or the response is not its own.
+    pub(crate) rejections_per_s: Option<u32>,
+    /// Whether it has turned away the call for want of room.
+    pub(crate) is_full: bool,
 }
 
 /// A response whose headers were received but whose body was not read to its end.
@@ -167,6 +171,8 @@
         is_replaced: is_misdirected && is_attributable,
         throttle: head.throttle.filter(|_throttle| is_attributable),
         limit: is_of_target.then_some(head.limit),
+        rejections_per_s: head.rejections_per_s.filter(|_budget| is_of_target),
+        is_full: head.not_run && is_of_target && is_attributable,
     };
     if is_of_other_call {
         // A late response to an earlier call. Returning here drops the connection and with it
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -302,6 +302,15 @@
     }
     if let Some(limit) = notice.limit {
         gateway.record_stated_limit(&target.name, target.started_at_unix_ms, limit, sent_at_ms);
+        // Only an answer of the target itself says whether it is brittle.
+        gateway.record_brittle_target(
+            &target.name,
+            target.started_at_unix_ms,
+            notice.rejections_per_s,
+        );
+    }
+    if notice.is_full {
+        gateway.record_rejection(&target.name, target.started_at_unix_ms);
     }
 }
 
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -268,6 +268,19 @@
                 member.recovery = recovery;
             }
         }
+        PeerMessage::TargetBrittle {
+            target,
+            started_at_unix_ms,
+            rejections_per_s,
+        } => {
+            gateway.apply_brittle_target(&target, started_at_unix_ms, rejections_per_s);
+        }
+        PeerMessage::TargetRejects {
+            target,
+            started_at_unix_ms,
+        } => {
+            gateway.apply_rejection(&target, started_at_unix_ms);
+        }
         PeerMessage::CutOff(is_cut_off) => {
             if let Some(member) = gateway.state.borrow_mut().members.get_mut(&datagram.vm) {
                 member.cut_off_at_ms = is_cut_off.then_some(now_ms);
--- a/crates/toucan_gateway/src/wire_format.rs
+++ b/crates/toucan_gateway/src/wire_format.rs
@@ -154,6 +154,8 @@
     pub throttle: Option<Duration>,
     /// What the target states about a limit on its calls from all gateways together.
     pub limit: StatedLimit,
+    /// Calls that the target may turn away in a second before it falls over; [`None`] if it states none.
+    pub rejections_per_s: Option<u32>,
 }
 
 /// Formats of the deployment that the gateway runs in.
