--- a/crates/toucan_gateway/src/event_splitter.rs
+++ b/crates/toucan_gateway/src/event_splitter.rs
@@ -129,9 +129,9 @@
             };
         };
         let mut lines = text.lines();
-        let ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
+        let mut ids = text.lines().filter_map(|line| line.strip_prefix(ID_FIELD));
         Self {
-            id: ids.last().map(|id| id.trim().to_owned()),
+            id: ids.next_back().map(|id| id.trim().to_owned()),
             has_data: lines.any(|line| !line.is_empty() && !line.starts_with(':')),
         }
     }
--- a/crates/toucan_gateway/tests/path_histories.rs
+++ b/crates/toucan_gateway/tests/path_histories.rs
@@ -169,6 +169,13 @@
         self.paths.path_to(&self.targets[target], self.now_ms)
     }
 
+    fn probe(&mut self) {
+        for name in self.paths.next_probes(self.now_ms) {
+            let probed = self.targets.iter().position(|entry| entry.name == name);
+            self.connect_directly(probed.expect("it is a target"));
+        }
+    }
+
     fn attempt(&mut self, target: usize) -> bool {
         let path = self.path_to(target);
         if path == Path::Tunnel && self.connect_by_tunnel(target) {
@@ -192,6 +199,7 @@
         for _attempt in 0..MAX_ATTEMPTS {
             let target = left.swap_remove(self.random.random_range(0..left.len()));
             is_served = self.attempt(target);
+            self.probe();
             if is_served {
                 break;
             }
@@ -234,10 +242,7 @@
     fn run(mut self) -> Vec<String> {
         while self.now_ms < LENGTH_MS {
             self.now_ms += self.random.random_range(1..60);
-            for name in self.paths.next_probes(self.now_ms) {
-                let probed = self.targets.iter().position(|entry| entry.name == name);
-                self.connect_directly(probed.expect("it is a target"));
-            }
+            self.probe();
             self.call();
             self.check_paths();
         }
