Let targets be silent for three seconds, and five where they may read slowly

The short timeout was meant for calls that reach leaving targets, whose causes are mended elsewhere. The store, peers and callers keep 1.5 s: a trial with 3 s there too broke CONFIG on a gateway with a full link. Change: 3 s for targets, 5 s where they may read slowly.

--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -16,7 +16,7 @@
     overload::{ConnectResult, LinkMonitor},
     paths::{DirectResult, Path, PathTable, TunnelResult},
     placement::CallOutcome,
-    socket_options::SlowPeerOptions,
+    socket_options::{SlowPeerOptions, set_target_timeout},
 };
 
 use super::tunnel_client::{TunnelConnector, TunnelFailure};
@@ -325,6 +325,12 @@
         let began_ms = boot_time_ms();
         let timeout = Duration::from_millis(timeout_ms);
         let connected = connect_tcp(target.address, timeout, self.slow_peer_options).await;
+        let connected = connected.and_then(|stream| {
+            if self.slow_peer_options.is_none() {
+                set_target_timeout(&stream)?;
+            }
+            Ok(stream)
+        });
         let result = match &connected {
             Ok(_stream) => Some(DirectResult::Connected),
             Err(error) if error.is_of_peer() => Some(DirectResult::Failed),
--- a/crates/toucan_gateway/src/socket_options.rs
+++ b/crates/toucan_gateway/src/socket_options.rs
@@ -4,13 +4,18 @@
 
 use socket2::{SockRef, TcpKeepalive};
 
-/// Time for which sent bytes may stay unacknowledged before the connection counts as broken.
+/// Time for which a peer may be silent before the connection counts as broken: for which sent bytes may stay
+/// unacknowledged, and, as `TCP_USER_TIMEOUT` also decides when keepalive gives up, for which an idle connection may
+/// leave probes unanswered, whatever their number.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same for targets. A sound one may be silent for a second or two.
+const TARGET_USER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Idle time before the first keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Time between keepalive probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keepalive probes after which the connection counts as broken.
+/// Number of unanswered keepalive probes after which the connection counts as broken, unless the user timeout ends
+/// before.
 const KEEPALIVE_PROBES: u32 = 2;
 
 /// Disables Nagle's algorithm on a socket and enables the detection of unresponsive peers.
@@ -29,6 +34,15 @@
     socket.set_tcp_keepalive(&keep_alive)
 }
 
+/// Sets how long a target may be silent, in place of what [`set_liveness_options`] has set.
+///
+/// # Errors
+///
+/// Error of the operating system if the option cannot be set.
+pub(crate) fn set_target_timeout(socket: &impl std::os::fd::AsFd) -> io::Result<()> {
+    SockRef::from(socket).set_tcp_user_timeout(Some(TARGET_USER_TIMEOUT))
+}
+
 /// Sizes and time-outs of a connection whose peer may read slowly.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct SlowPeerOptions {
@@ -49,13 +63,12 @@
         receive_bytes: 32 * 1024,
         user_timeout: Duration::from_secs(60),
     };
-    /// Connections to targets. A target that was cut off is noticed within the timeout. With a longer one, a call
-    /// that was held up on the way reaches a leaving target later. A smaller send buffer stalls large bodies
-    /// where segments are as large as 64 KiB.
+    /// Connections to targets. A target that was cut off is noticed within the timeout, for which one that lives may
+    /// leave a body unread. A smaller send buffer stalls large bodies where segments are as large as 64 KiB.
     pub(crate) const TARGET: Self = Self {
         send_bytes: 64 * 1024,
         receive_bytes: 32 * 1024,
-        user_timeout: USER_TIMEOUT,
+        user_timeout: Duration::from_secs(5),
     };
 
     /// Sets the options on a socket, in place of what [`set_liveness_options`] has set.
