Discard what a call that was given up has not sent yet

Cause: a socket that is closed still sends what its buffer holds, and on a full link that takes seconds, so a cancellation does not overtake the request. Class: buffered work that outlives its cancellation; direct connections have it too. Change: connections to targets and tunnels are reset when they are closed (SO_LINGER 0), which discards it; the gateway at the end of a tunnel does the same.

--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -16,7 +16,7 @@
     overload::{ConnectResult, LinkMonitor},
     paths::{DirectResult, Path, PathTable, TunnelResult},
     placement::CallOutcome,
-    socket_options::{SlowPeerOptions, set_target_timeout},
+    socket_options::{SlowPeerOptions, discard_when_closed, set_target_timeout},
 };
 
 use super::tunnel_client::{TunnelConnector, TunnelFailure};
@@ -329,6 +329,7 @@
             if self.slow_peer_options.is_none() {
                 set_target_timeout(&stream)?;
             }
+            discard_when_closed(&stream);
             Ok(stream)
         });
         let result = match &connected {
--- a/crates/toucan_gateway/src/serving/tunnel_client.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_client.rs
@@ -15,6 +15,7 @@
     http_connection::connect_tcp,
     paths::{TunnelPeer, TunnelRequest, TunnelStatus},
     peers::PeerMessage,
+    socket_options::discard_when_closed,
 };
 
 /// Timeout for connecting to another gateway.
@@ -105,6 +106,7 @@
             .ok_or(TunnelFailure::NoTunnel)?;
         let stream = connect_tcp(address, CONNECT_TIMEOUT, None).await;
         let mut stream = stream.map_err(|_error| TunnelFailure::NoTunnel)?;
+        discard_when_closed(&stream);
         let asked = timeout(ANSWER_TIMEOUT, ask(&mut stream, &message)).await;
         match asked {
             Ok(Ok(Some(TunnelStatus::Connected))) => {
--- a/crates/toucan_gateway/src/serving/tunnel_server.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_server.rs
@@ -14,7 +14,7 @@
     config::TargetEntry,
     paths::{Path, TunnelRequest, TunnelStatus},
     peers::{Datagram, PeerMessage},
-    socket_options::set_liveness_options,
+    socket_options::{discard_when_closed, set_liveness_options},
     tasks::peer_exchange::sender_key,
 };
 
@@ -154,7 +154,8 @@
 /// Passes bytes on in both directions until one of the connections ends.
 ///
 /// The end of an answer is passed on as what it was: a connection that the target closes is closed, one that
-/// breaks is reset. A cut-off answer without a length would otherwise look complete.
+/// breaks is reset. A cut-off answer without a length would otherwise look complete. A request that the asking
+/// gateway gives up ends with its connection, and what has not been sent of it is discarded.
 async fn join(mut caller: TcpStream, mut target: TcpStream) {
     let is_complete = {
         let (mut from_caller, mut to_caller) = caller.split();
@@ -165,19 +166,10 @@
         };
         tokio::select! {
             answers = answers => answers.is_ok(),
-            // The asking gateway has closed the connection, or it broke.
             _requests = copy(&mut from_caller, &mut to_target) => false,
         }
     };
     if !is_complete {
-        reset(&caller);
-        reset(&target);
-    }
-}
-
-/// Makes a connection send a reset when it is dropped.
-fn reset(stream: &TcpStream) {
-    if let Err(error) = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::debug!(target: "pool", error:% = error; "a tunnelled connection ends without a reset");
+        discard_when_closed(&caller);
     }
 }
--- a/crates/toucan_gateway/src/socket_options.rs
+++ b/crates/toucan_gateway/src/socket_options.rs
@@ -34,6 +34,16 @@
     socket.set_tcp_keepalive(&keep_alive)
 }
 
+/// Makes a connection that is closed discard what has not been sent yet.
+///
+/// A request that was given up would otherwise reach its target later, for as long as the link is full. Failures are
+/// logged, since the connection is of use without the option.
+pub(crate) fn discard_when_closed(socket: &impl std::os::fd::AsFd) {
+    if let Err(error) = SockRef::from(socket).set_linger(Some(Duration::ZERO)) {
+        log::debug!(target: "pool", error:% = error; "a closed connection still sends what it holds");
+    }
+}
+
 /// Sets how long a target may be silent, in place of what [`set_liveness_options`] has set.
 ///
 /// # Errors
