--- a/crates/toucan_gateway/src/paths/mod.rs
+++ b/crates/toucan_gateway/src/paths/mod.rs
@@ -8,4 +8,4 @@
 pub use path_evidence::{DirectResult, TunnelResult};
 pub use path_table::{Path, PathTable};
 pub use tunnel_peers::{TunnelPeer, TunnelPeers};
-pub use tunnel_request::{TunnelRequest, TunnelStatus};
+pub use tunnel_request::{TunnelRequest, TunnelStatus, UnknownTunnelStatus};
--- a/crates/toucan_gateway/src/paths/tunnel_request.rs
+++ b/crates/toucan_gateway/src/paths/tunnel_request.rs
@@ -1,5 +1,6 @@
 //! Request to another gateway to connect to a target, and its answer.
 
+use displaydoc::Display;
 use toucan_types::TargetName;
 
 /// Asks a gateway for a connection to a target. The gateway finds the address in what it has read itself, so it
@@ -28,22 +29,28 @@
     Unavailable = 4,
 }
 
-impl TunnelStatus {
-    /// Returns the byte that stands for the status.
-    #[must_use]
-    pub const fn to_byte(self) -> u8 {
-        self as u8
+/// {0} stands for no status of a tunnel
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub struct UnknownTunnelStatus(pub u8);
+
+impl std::error::Error for UnknownTunnelStatus {}
+
+impl From<TunnelStatus> for u8 {
+    fn from(status: TunnelStatus) -> Self {
+        status as Self
     }
+}
+
+impl TryFrom<u8> for TunnelStatus {
+    type Error = UnknownTunnelStatus;
 
-    /// Returns the status that a byte stands for; [`None`] if there is none.
-    #[must_use]
-    pub const fn from_byte(byte: u8) -> Option<Self> {
+    fn try_from(byte: u8) -> Result<Self, UnknownTunnelStatus> {
         match byte {
-            1 => Some(Self::Connected),
-            2 => Some(Self::TargetUnreachable),
-            3 => Some(Self::TargetUnknown),
-            4 => Some(Self::Unavailable),
-            _ => None,
+            1 => Ok(Self::Connected),
+            2 => Ok(Self::TargetUnreachable),
+            3 => Ok(Self::TargetUnknown),
+            4 => Ok(Self::Unavailable),
+            _ => Err(UnknownTunnelStatus(byte)),
         }
     }
 }
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -316,6 +316,11 @@
         self.paths.borrow_mut().retain(is_known);
     }
 
+    /// Connects to a target to record whether this VM reaches it, and closes the connection.
+    pub(crate) async fn probe(&self, target: &TargetEntry) {
+        let _connected = self.connect_tcp_directly(target, PROBE_TIMEOUT_MS).await;
+    }
+
     /// Connects to a target, and not by way of another gateway. Records the result as evidence of the way to it.
     pub(crate) async fn connect_tcp_directly(
         &self,
--- a/crates/toucan_gateway/src/serving/tunnel_client.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_client.rs
@@ -1,6 +1,6 @@
 //! Connections to targets by way of other gateways.
 
-use std::{io, net::SocketAddrV4, time::Duration};
+use std::{io, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -58,7 +58,7 @@
 
     async fn connect(&self, target: &TargetEntry) -> Result<TcpStream, TunnelFailure> {
         let mut failure = TunnelFailure::NoTunnel;
-        for vm in self.tunnels() {
+        for vm in self.peers_to_ask() {
             match self.connect_by(&vm, target).await {
                 Ok(stream) => return Ok(stream),
                 Err(found) => {
@@ -77,7 +77,7 @@
 
 impl<P: Platform> Gateway<P> {
     /// Returns the gateways to ask for a connection to a target, best first.
-    fn tunnels(&self) -> Vec<VmName> {
+    fn peers_to_ask(&self) -> Vec<VmName> {
         let now_ms = self.now_ms();
         let state = self.state.borrow();
         let peers: Vec<TunnelPeer> = state.members.tunnel_peers(&self.location, now_ms);
@@ -109,21 +109,18 @@
         discard_when_closed(&stream);
         let asked = timeout(ANSWER_TIMEOUT, ask(&mut stream, &message)).await;
         match asked {
-            Ok(Ok(Some(TunnelStatus::Connected))) => {
-                log::debug!(target: "pool", vm = vm.as_str(), address:% = SocketAddrV4::to_string(&address), name = target.name.as_str(); "another gateway connects to the target");
-                Ok(stream)
-            }
-            Ok(Ok(Some(TunnelStatus::TargetUnreachable))) => Err(TunnelFailure::TargetUnreachable),
+            Ok(Ok(TunnelStatus::Connected)) => Ok(stream),
+            Ok(Ok(TunnelStatus::TargetUnreachable)) => Err(TunnelFailure::TargetUnreachable),
             _ => Err(TunnelFailure::NoTunnel),
         }
     }
 }
 
 /// Sends a request with its length and reads the answer.
-async fn ask(stream: &mut TcpStream, message: &[u8]) -> io::Result<Option<TunnelStatus>> {
+async fn ask(stream: &mut TcpStream, message: &[u8]) -> io::Result<TunnelStatus> {
     let length = u16::try_from(message.len()).map_err(io::Error::other)?;
     let bytes = [&length.to_be_bytes(), message].concat();
     stream.write_all(&bytes).await?;
     let status = stream.read_u8().await?;
-    Ok(TunnelStatus::from_byte(status))
+    TunnelStatus::try_from(status).map_err(io::Error::other)
 }
--- a/crates/toucan_gateway/src/serving/tunnel_server.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_server.rs
@@ -83,7 +83,7 @@
         Ok(target) => {
             metrics::counter!("toucan_tunnels_total").increment(1);
             if caller
-                .write_u8(TunnelStatus::Connected.to_byte())
+                .write_u8(TunnelStatus::Connected.into())
                 .await
                 .is_ok()
             {
@@ -94,7 +94,7 @@
             metrics::counter!("toucan_refused_tunnels_total", "reason" => "no_connection")
                 .increment(1);
             // The asking gateway takes a closed connection as a refusal too.
-            let _sent = caller.write_u8(status.to_byte()).await;
+            let _sent = caller.write_u8(status.into()).await;
         }
     }
 }
--- a/crates/toucan_gateway/src/tasks/path_probes.rs
+++ b/crates/toucan_gateway/src/tasks/path_probes.rs
@@ -10,8 +10,6 @@
 
 /// Interval at which it is checked whether a probe is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Timeout of a connect that looks whether a cut is over.
-const PROBE_TIMEOUT_MS: u64 = 250;
 /// Interval at which other gateways are told that this one is cut off.
 const TELL_INTERVAL_MS: u64 = 500;
 
@@ -42,11 +40,7 @@
             .map(|target| Rc::clone(&target.entry))
     };
     if let Some(entry) = entry {
-        // The pool records the result; the connection is closed.
-        let _connected = gateway
-            .pool
-            .connect_tcp_directly(&entry, PROBE_TIMEOUT_MS)
-            .await;
+        gateway.pool.probe(&entry).await;
     }
 }
 
