Deny no caller by a configuration that others know to be outdated

Cause: the same as with leaving targets, a gateway acts on what it read last and has no other way to learn more. Change: few gateways tell all others the version that they have read, at once and with their load for 2.5 s. One that has an older version answers 503 with Retry-After and closes the connection where it would answer 401 or 404; what its version allows it serves on.

--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -10,6 +10,8 @@
 pub enum Refusal {
     /// no configuration has been read yet
     NotConfigured,
+    /// other gateways have a newer configuration, by which the call may be allowed
+    ConfigurationOutdated,
     /// no route has this host and path
     NoRoute,
     /// the call carries no key that an organisation holds
@@ -95,6 +97,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
             Self::NotConfigured
+            | Self::ConfigurationOutdated
             | Self::BudgetNotReachable
             | Self::BudgetInUse
             | Self::NoTarget
@@ -131,7 +134,7 @@
             // The load balancer stops using this VM at once, so another VM gets the next attempt.
             Self::Stopping => 50,
             // The response closes the connection, so another VM probably gets the next attempt.
-            Self::CannotConnect => 100,
+            Self::CannotConnect | Self::ConfigurationOutdated => 100,
             Self::TargetFull | Self::NoTarget => 250,
             Self::Overloaded { return_ms }
             | Self::TargetsThrottling { return_ms }
@@ -159,7 +162,10 @@
     pub const fn closes_connection(self) -> bool {
         matches!(
             self,
-            Self::Stopping | Self::CannotConnect | Self::GatewayBusy { .. }
+            Self::Stopping
+                | Self::CannotConnect
+                | Self::ConfigurationOutdated
+                | Self::GatewayBusy { .. }
         )
     }
 
@@ -177,6 +183,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::NotConfigured => "not_configured",
+            Self::ConfigurationOutdated => "configuration_outdated",
             Self::NoRoute => "no_route",
             Self::UnknownKey => "unknown_key",
             Self::NoId => "no_id",
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -331,7 +331,7 @@
         let now_ms = self.now_ms();
         let is_teller = {
             let members = &self.state.borrow().members;
-            members.tells_departures(&departure.target, &self.location, now_ms)
+            members.is_teller(&departure.target, &self.location, now_ms)
         };
         if !is_teller {
             return;
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -114,6 +114,8 @@
     Condemned(PoisonVerdict),
     /// Tells of targets that leave, as the sender has read it from the store.
     Departures(Vec<Departure>),
+    /// Tells the version of the configuration that the sender has read.
+    ConfigInForce(u64),
     /// Tells that a target has begun to state that it is brittle, or does so no longer.
     TargetBrittle {
         /// Target.
--- a/crates/toucan_gateway/src/peers/permit_share.rs
+++ b/crates/toucan_gateway/src/peers/permit_share.rs
@@ -5,6 +5,8 @@
 //! can still believe that it has the large one, and the shares of all that may exist at the same time
 //! stay below the limit with its tolerance, without any agreement between them.
 
+use std::hash::Hash;
+
 use toucan_types::{TargetName, VmName, rendezvous_ranking};
 
 use super::{
@@ -26,7 +28,7 @@
 /// Number of gateways that are asked for the permits of one target.
 const GRANTERS: usize = 2;
 
-/// Number of gateways that tell the others that a target leaves. Some of them may be unable to read it.
+/// Number of gateways that tell the others what they have read. Some of them may be unable to read it.
 const TELLERS: usize = 4;
 
 /// Since when this gateway hears from a majority of all gateways.
@@ -59,26 +61,21 @@
         local: &GatewayLocation,
         now_ms: u64,
     ) -> Vec<VmName> {
-        self.rank_for_target(target, local, GRANTERS, now_ms)
+        self.rank_live(target, local, GRANTERS, now_ms)
     }
 
-    /// Returns whether the gateway at `local` is one of the few that tell the others when it reads that a target
-    /// leaves.
+    /// Returns whether the gateway at `local` is one of the few that tell the others what they have read of `subject`
+    /// from the store.
     #[must_use]
-    pub fn tells_departures(
-        &self,
-        target: &TargetName,
-        local: &GatewayLocation,
-        now_ms: u64,
-    ) -> bool {
-        self.rank_for_target(target, local, TELLERS, now_ms)
+    pub fn is_teller(&self, subject: &impl Hash, local: &GatewayLocation, now_ms: u64) -> bool {
+        self.rank_live(subject, local, TELLERS, now_ms)
             .contains(&local.vm)
     }
 
     /// Returns up to `count` of the live gateways, the same ones at each gateway that sees the same members.
-    fn rank_for_target(
+    fn rank_live(
         &self,
-        target: &TargetName,
+        subject: &impl Hash,
         local: &GatewayLocation,
         count: usize,
         now_ms: u64,
@@ -86,7 +83,7 @@
         let live = self.seen_within(LIVENESS_TIMEOUT_MS, now_ms);
         let candidates = live.map(|(vm, _member)| vm);
         let candidates = candidates.chain(std::iter::once(&local.vm));
-        let ranked = rendezvous_ranking(target, candidates, count);
+        let ranked = rendezvous_ranking(subject, candidates, count);
         ranked.into_iter().cloned().collect()
     }
 
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -72,9 +72,16 @@
     let config = gateway.state.borrow().config.clone();
     let config = config.ok_or(Refusal::NotConfigured)?;
     tracker.log.config_version = config.version.0;
-    let route = Rc::clone(find_route(&config, &parts).ok_or(Refusal::NoRoute)?);
+    // What this configuration denies, a newer one may allow.
+    let denial = |refusal| {
+        let is_outdated = gateway.state.borrow().is_config_outdated();
+        let outdated = is_outdated.then_some(Refusal::ConfigurationOutdated);
+        outdated.unwrap_or(refusal)
+    };
+    let route = find_route(&config, &parts).ok_or_else(|| denial(Refusal::NoRoute))?;
+    let route = Rc::clone(route);
     tracker.log.route.clone_from(&route.name);
-    let organisation = authenticate(&config, &route, &head)?;
+    let organisation = authenticate(&config, &route, &head).map_err(denial)?;
     if let Some(organisation) = &organisation {
         tracker.log.organisation = organisation.name.to_string();
     }
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -22,6 +22,9 @@
 /// readiness once a second and notices a VM that is not ready within two probes.
 pub(crate) const SHUTDOWN_ACCEPT_MS: u64 = 2_500;
 
+/// Time for which a configuration is told again, in case a datagram was lost.
+const CONFIG_REPEAT_MS: u64 = 2_500;
+
 /// Maximum age of a record that shows a budget as fully granted. Later, other gateways may have
 /// returned tokens, or the organisation may have paid for more.
 const FULLY_GRANTED_MAX_AGE_MS: u64 = 500;
@@ -31,6 +34,10 @@
 pub(crate) struct GatewayState {
     /// Current configuration; [`None`] until one has been read.
     pub(crate) config: Option<Rc<FleetConfig>>,
+    /// Highest version of a configuration that another gateway has told to be in force.
+    pub(crate) told_config_version: u64,
+    /// When the current configuration was read; [`None`] until one has been.
+    pub(crate) config_read_at_ms: Option<u64>,
     /// Evacuated data centres.
     pub(crate) evacuations: Evacuations,
     /// Whether all targets are in evacuated data centres, as last reported.
@@ -148,6 +155,21 @@
         })
     }
 
+    /// Returns whether another gateway has a newer configuration than this one.
+    pub(crate) fn is_config_outdated(&self) -> bool {
+        let version = self.config.as_ref().map_or(0, |config| config.version.0);
+        self.told_config_version > version
+    }
+
+    /// Returns the version of the configuration that this gateway has read lately and tells the others.
+    pub(crate) fn config_to_tell(&self, location: &GatewayLocation, now_ms: u64) -> Option<u64> {
+        let read_at_ms = self.config_read_at_ms?;
+        let version = self.config.as_ref()?.version.0;
+        let is_recent = now_ms <= read_at_ms + CONFIG_REPEAT_MS;
+        let is_teller = self.members.is_teller(&version, location, now_ms);
+        (is_recent && is_teller).then_some(version)
+    }
+
     /// Returns whether the gateway is ready to accept new calls.
     pub(crate) fn is_ready(&self) -> bool {
         self.config.is_some()
--- a/crates/toucan_gateway/src/tasks/config_watch.rs
+++ b/crates/toucan_gateway/src/tasks/config_watch.rs
@@ -12,7 +12,7 @@
 
 use super::{
     evacuation_records::EvacuationRecords, partition_consumer::PartitionConsumer,
-    store_health::StoreHealth,
+    peer_exchange::tell_config, store_health::StoreHealth,
 };
 
 /// Longest time for which one read waits for a new record.
@@ -87,8 +87,11 @@
     );
     metrics::gauge!("toucan_configuration_version").set(config.version.0 as f64);
     freeze_lowered_budgets(&mut state, &config);
+    let now_ms = gateway.now_ms();
     state.config = Some(Rc::new(config));
+    state.config_read_at_ms = Some(now_ms);
     drop(state);
+    tell_config(gateway, now_ms);
     gateway.sync_requested.notify_one();
 }
 
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -95,6 +95,7 @@
             work,
         });
         gateway.send_to_peers(vms.iter(), message);
+        tell_config(&gateway, now_ms);
         let departures = gateway.state.borrow_mut().departures.to_tell(now_ms);
         if !departures.is_empty() {
             gateway.send_to_peers(vms.iter(), PeerMessage::Departures(departures));
@@ -128,6 +129,18 @@
     }
 }
 
+/// Tells the other gateways the version of the configuration that this one has read lately. They may be unable to read
+/// it, and must not deny callers what it allows.
+pub(crate) fn tell_config<P: Platform>(gateway: &Gateway<P>, now_ms: u64) {
+    let version = gateway
+        .state
+        .borrow()
+        .config_to_tell(&gateway.location, now_ms);
+    if let Some(version) = version {
+        gateway.tell_all(PeerMessage::ConfigInForce(version));
+    }
+}
+
 fn begin_transfers(
     state: &mut GatewayState,
     transfers: &mut Transfers,
@@ -268,6 +281,10 @@
                 member.recovery = recovery;
             }
         }
+        PeerMessage::ConfigInForce(version) => {
+            let state = &mut *gateway.state.borrow_mut();
+            state.told_config_version = state.told_config_version.max(version);
+        }
         PeerMessage::TargetBrittle {
             target,
             started_at_unix_ms,
