--- a/crates/toucan_gateway/src/paths/path_table.rs
+++ b/crates/toucan_gateway/src/paths/path_table.rs
@@ -187,15 +187,6 @@
         }
     }
 
-    /// Returns whether this VM is cut off from all targets, as far as connects show.
-    #[must_use]
-    pub fn is_cut_from_all(&self, now_ms: u64) -> bool {
-        let mut targets = self.targets.values();
-        targets
-            .next()
-            .is_some_and(|any| self.scope_evidence(Scope::Everything, any, now_ms).is_cut())
-    }
-
     /// Returns whether any target is reached by way of another gateway.
     #[must_use]
     pub fn is_cut(&self, now_ms: u64) -> bool {
@@ -331,12 +322,14 @@
     some: impl Iterator<Item = &'a PathEvidence> + Clone,
     all: impl Iterator<Item = &'a PathEvidence> + Clone,
 ) -> bool {
-    spans(some.clone(), |target| &target.service) >= spans(all.clone(), |target| &target.service)
-        && spans(some, |target| &target.data_centre) >= spans(all, |target| &target.data_centre)
+    let have_one_service = !differ_in(all.clone(), |target| &target.service);
+    let have_one_data_centre = !differ_in(all, |target| &target.data_centre);
+    (have_one_service || differ_in(some.clone(), |target| &target.service))
+        && (have_one_data_centre || differ_in(some, |target| &target.data_centre))
 }
 
 /// Returns whether targets differ in a property.
-fn spans<'a, T: PartialEq + 'a>(
+fn differ_in<'a, T: PartialEq + 'a>(
     mut targets: impl Iterator<Item = &'a PathEvidence>,
     property: impl Fn(&'a PathEvidence) -> &'a T,
 ) -> bool {
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -17,6 +17,7 @@
     poison::join_fingerprints,
     retries::{CallProgress, NextStep, SendFailure, next_step},
     streams::StreamOrigin,
+    tasks::path_probes::spawn_path_check,
 };
 
 use super::{
@@ -31,7 +32,6 @@
     permit_wait::take_permit,
     poison_trial::check_poison,
 };
-use crate::tasks::path_probes::spawn_path_check;
 
 /// A usable response of a target.
 pub(crate) enum TargetResponse<P: Platform> {
