--- a/review/1/play.py
+++ b/review/1/play.py
@@ -159,10 +159,16 @@
         for worker in workers:
             worker.heal()
         await asyncio.sleep(0.4)
+        if TROUBLE:
+            # front-1 is connected; front-0 stays cut off.
+            for worker in workers:
+                worker.cut()
         if STOP:
             record("platform: SIGTERM to front-1")
             helper.signal(signal.SIGTERM)
         results = await asyncio.gather(*calls)
+        for worker in workers:
+            worker.heal()
         await asyncio.sleep(0.5)
         sent_whole, broken_off = {}, {}
         for worker in workers:
