Reset tunnels that end before the target's answer does

The connection between the two gateways was set to be reset only after copying had failed, so the kernel closed it regularly when the helping process ended or was killed. A planned stop did not count tunnels and ended 2.5 s after SIGTERM with answers under way.

Change: the connection is set to be reset before the asking gateway is told that it is connected; that is taken back when the target has closed regularly and all was passed on. A planned stop waits for tunnels.

--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -22,6 +22,7 @@
 mod send;
 mod serve_call;
 pub(crate) mod tunnel_client;
+mod tunnel_relay;
 pub(crate) mod tunnel_server;
 
 pub(crate) use call::Call;
--- a/crates/toucan_gateway/src/serving/tunnel_server.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_server.rs
@@ -3,7 +3,7 @@
 use std::{cell::Cell, io, rc::Rc, time::Duration};
 
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt, copy},
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     task::spawn_local,
     time::{sleep, timeout},
@@ -14,10 +14,12 @@
     config::TargetEntry,
     paths::{Path, TunnelRequest, TunnelStatus},
     peers::{Datagram, PeerMessage},
-    socket_options::{discard_when_closed, set_liveness_options},
+    socket_options::{reset_when_closed, set_liveness_options},
     tasks::peer_exchange::sender_key,
 };
 
+use super::tunnel_relay::relay;
+
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Timeout for reading a request.
@@ -82,13 +84,11 @@
     match connected {
         Ok(target) => {
             metrics::counter!("toucan_tunnels_total").increment(1);
-            if caller
-                .write_u8(TunnelStatus::Connected.into())
-                .await
-                .is_ok()
-            {
-                join(caller, target).await;
+            if let Err(error) = open(&mut caller).await {
+                log::debug!(target: "listener", name = "tunnels", error:% = error; "the asking gateway cannot be told of its tunnel");
+                return;
             }
+            relay(&caller, &target).await;
         }
         Err(status) => {
             metrics::counter!("toucan_refused_tunnels_total", "reason" => "no_connection")
@@ -99,6 +99,13 @@
     }
 }
 
+/// Tells the asking gateway that it is connected to the target. From here on its connection is reset whenever it is
+/// closed, also by the end of this process.
+async fn open(caller: &mut TcpStream) -> io::Result<()> {
+    reset_when_closed(caller)?;
+    caller.write_u8(TunnelStatus::Connected.into()).await
+}
+
 fn max_tunnels<P: Platform>(gateway: &Gateway<P>) -> u32 {
     let max_open_files = gateway.settings.resources.max_open_files;
     max_open_files.map_or(DEFAULT_MAX_TUNNELS, |files| files / OPEN_FILES_PER_TUNNEL)
@@ -150,26 +157,3 @@
     let is_same_start = target.entry.started_at_unix_ms == request.started_at_unix_ms;
     is_same_start.then(|| Rc::clone(&target.entry))
 }
-
-/// Passes bytes on in both directions until one of the connections ends.
-///
-/// The end of an answer is passed on as what it was: a connection that the target closes is closed, one that
-/// breaks is reset. A cut-off answer without a length would otherwise look complete. A request that the asking
-/// gateway gives up ends with its connection, and what has not been sent of it is discarded.
-async fn join(mut caller: TcpStream, mut target: TcpStream) {
-    let is_complete = {
-        let (mut from_caller, mut to_caller) = caller.split();
-        let (mut from_target, mut to_target) = target.split();
-        let answers = async {
-            copy(&mut from_target, &mut to_caller).await?;
-            to_caller.shutdown().await
-        };
-        tokio::select! {
-            answers = answers => answers.is_ok(),
-            _requests = copy(&mut from_caller, &mut to_target) => false,
-        }
-    };
-    if !is_complete {
-        discard_when_closed(&caller);
-    }
-}
--- a/crates/toucan_gateway/src/socket_options.rs
+++ b/crates/toucan_gateway/src/socket_options.rs
@@ -39,11 +39,29 @@
 /// A request that was given up would otherwise reach its target later, for as long as the link is full. Failures are
 /// logged, since the connection is of use without the option.
 pub(crate) fn discard_when_closed(socket: &impl std::os::fd::AsFd) {
-    if let Err(error) = SockRef::from(socket).set_linger(Some(Duration::ZERO)) {
+    if let Err(error) = reset_when_closed(socket) {
         log::debug!(target: "pool", error:% = error; "a closed connection still sends what it holds");
     }
 }
 
+/// Makes a connection be reset when it is closed, also by the kernel after the process was killed.
+///
+/// # Errors
+///
+/// Error of the operating system if the option cannot be set.
+pub(crate) fn reset_when_closed(socket: &impl std::os::fd::AsFd) -> io::Result<()> {
+    SockRef::from(socket).set_linger(Some(Duration::ZERO))
+}
+
+/// Takes back [`reset_when_closed`], so that the peer receives all that was sent and a regular end.
+///
+/// # Errors
+///
+/// Error of the operating system if the option cannot be set.
+pub(crate) fn close_regularly(socket: &impl std::os::fd::AsFd) -> io::Result<()> {
+    SockRef::from(socket).set_linger(None)
+}
+
 /// Sets how long a target may be silent, in place of what [`set_liveness_options`] has set.
 ///
 /// # Errors
--- a/crates/toucan_gateway/src/tasks/shutdown.rs
+++ b/crates/toucan_gateway/src/tasks/shutdown.rs
@@ -36,7 +36,7 @@
     gateway.sync_requested.notify_one();
     sleep(Duration::from_millis(SHUTDOWN_ACCEPT_MS)).await;
     gateway.listener_state.send_replace(ListenerState::Closing);
-    while gateway.state.borrow().calls_in_progress > 0 && gateway.now_ms() < drain_deadline_ms {
+    while has_work(gateway) && gateway.now_ms() < drain_deadline_ms {
         sleep(POLL_INTERVAL).await;
     }
     // Tokens that are not returned are lost, so the store gets all the remaining time.
@@ -61,12 +61,18 @@
     log::info!(
         target: "process",
         cut_off = cut_off,
+        cut_off_tunnels = gateway.open_tunnels.get(),
         took_ms = gateway.now_ms().saturating_sub(began_ms);
         "stopped"
     );
     cut_off
 }
 
+/// Returns whether calls are in progress, or other gateways have connections to targets through this one.
+fn has_work<P: Platform>(gateway: &Gateway<P>) -> bool {
+    gateway.state.borrow().calls_in_progress > 0 || gateway.open_tunnels.get() > 0
+}
+
 /// Gives borrowed tokens, which cannot be returned to the store, to another holder.
 async fn give_back_borrowed_tokens<P: Platform>(gateway: &Rc<Gateway<P>>) {
     let deadline_ms = gateway.now_ms() + GIVE_BACK_TIMEOUT.as_millis() as u64;
