Repeat reads of the store whose answers are overdue

Cause: a read waits for up to 2 s for a record and was given up 1.5 s later, so one lost answer cost 3.5 s, however short the silence.

The retry after the failure is ruled out: it lasts 0.2 s at most.

Change: a read whose answer is overdue by 0.5 s is made once more without a wait, on another connection, and the first answer counts. It holds for all consumers of the store's partitions. The wait follows from the contact time of the deployment.

--- a/crates/toucan_gateway/src/settings.rs
+++ b/crates/toucan_gateway/src/settings.rs
@@ -59,6 +59,8 @@
     pub stop_ms: u64,
     /// Time after which no call may reach a target whose deregistration is known.
     pub drain_ms: u64,
+    /// Time after the end of a disturbance from which the bounds hold again.
+    pub contact_ms: u64,
     /// Interval between two registrations of a live target.
     pub heartbeat_ms: u64,
     /// Retries allowed per request, over all VMs.
@@ -77,6 +79,7 @@
         Self {
             stop_ms: 8_000,
             drain_ms: 2_000,
+            contact_ms: 3_000,
             heartbeat_ms: 1_200,
             retry_ratio: 0.1,
             retry_slack: 10,
--- a/crates/toucan_gateway/src/tasks/config_watch.rs
+++ b/crates/toucan_gateway/src/tasks/config_watch.rs
@@ -8,17 +8,22 @@
     Gateway, Platform,
     config::FleetConfig,
     keyed_log::{ReadRecord, Topic},
+    settings::Bounds,
 };
 
 use super::{
-    evacuation_records::EvacuationRecords, partition_consumer::PartitionConsumer,
-    peer_exchange::tell_config, store_health::StoreHealth,
+    evacuation_records::EvacuationRecords,
+    partition_consumer::{MAX_ANSWER_DELAY, PartitionConsumer},
+    peer_exchange::tell_config,
+    store_health::StoreHealth,
 };
 
 /// Longest time for which one read waits for a new record.
 const MAX_READ_WAIT_MS: u64 = 2_000;
 /// Shortest time for which one read waits for a new record.
 const MIN_READ_WAIT_MS: u64 = 100;
+/// Time for the answer to a read that is made once more because an answer was lost.
+const REPEATED_READ_TIME: Duration = Duration::from_millis(500);
 /// Part of the bound for evacuations for which one read waits. An answer that is lost costs this wait and the
 /// timeout of the store's answer, and the next read must still come within the bound.
 const READ_WAIT_PER_BOUND: u64 = 4;
@@ -29,10 +34,10 @@
     let mut health = StoreHealth::new("configuration");
     let mut evacuations = EvacuationRecords::default();
     loop {
-        let bound_ms = gateway.bounds().evacuate_ms;
-        let wait_ms = bound_ms.map_or(MAX_READ_WAIT_MS, |ms| ms / READ_WAIT_PER_BOUND);
-        let wait = Duration::from_millis(wait_ms.clamp(MIN_READ_WAIT_MS, MAX_READ_WAIT_MS));
-        match consumer.read(&gateway.platform, wait).await {
+        match consumer
+            .read(&gateway.platform, read_wait(&gateway.bounds()))
+            .await
+        {
             Ok(consumed) => {
                 health.record_success(gateway.now_ms());
                 // The gateway is ready once it has a configuration, so the evacuations come first.
@@ -47,6 +52,17 @@
     }
 }
 
+/// Returns for how long one read waits for a new record: short enough that a read whose answer is lost is repeated
+/// within the bounds of the deployment.
+fn read_wait(bounds: &Bounds) -> Duration {
+    let until_repeated = MAX_ANSWER_DELAY + REPEATED_READ_TIME;
+    let contact_ms = bounds.contact_ms;
+    let wait_ms = contact_ms.saturating_sub(until_repeated.as_millis() as u64);
+    let evacuate_ms = bounds.evacuate_ms.map(|ms| ms / READ_WAIT_PER_BOUND);
+    let wait_ms = wait_ms.min(evacuate_ms.unwrap_or(MAX_READ_WAIT_MS));
+    Duration::from_millis(wait_ms.clamp(MIN_READ_WAIT_MS, MAX_READ_WAIT_MS))
+}
+
 /// Applies the last configuration among the records, if there is one.
 fn apply_newest<P: Platform>(gateway: &Rc<Gateway<P>>, records: &[ReadRecord]) {
     let newest = records
--- a/crates/toucan_gateway/src/tasks/partition_consumer.rs
+++ b/crates/toucan_gateway/src/tasks/partition_consumer.rs
@@ -1,12 +1,14 @@
 //! Consumes one partition of the keyed log.
 
-use std::time::Duration;
+use std::{future::pending, pin::pin, time::Duration};
 
 use tokio::time::{Instant, sleep};
 use toucan_types::Offset;
 
 use crate::keyed_log::{KeyedLog, Partition, ReadBatch, ReadError, Topic};
 
+/// Time by which an answer may be late before its read is made once more. A slow store answers sooner.
+pub(crate) const MAX_ANSWER_DELAY: Duration = Duration::from_millis(500);
 /// Pause after a read that returned nothing before its time.
 const EMPTY_READ_PAUSE: Duration = Duration::from_millis(200);
 
@@ -82,7 +84,7 @@
             && !self.is_before_restore(log)
         {
             let began = Instant::now();
-            let read = log.read_from(self.partition, next, wait).await;
+            let read = read_or_repeat(log, self.partition, next, wait).await;
             let waited = began.elapsed();
             match read {
                 // The offsets were given out again, so the records may follow others that are missing.
@@ -148,3 +150,32 @@
         self.next = Some(next);
     }
 }
+
+/// Reads records, once more on another connection if the answer is overdue, and returns what is answered first.
+///
+/// A connection on which an answer was lost looks like one on which the store still waits for a record. Giving the read
+/// up as late as a slow store requires would leave what was written since unread for as long.
+async fn read_or_repeat(
+    log: &impl KeyedLog,
+    partition: Partition,
+    from: Offset,
+    wait: Duration,
+) -> Result<ReadBatch, ReadError> {
+    let mut first = pin!(log.read_from(partition, from, wait));
+    tokio::select! {
+        read = first.as_mut() => return read,
+        () = sleep(wait + MAX_ANSWER_DELAY) => {}
+    }
+    metrics::counter!("toucan_overdue_store_reads_total").increment(1);
+    let repeated = async {
+        match log.read_from(partition, from, Duration::ZERO).await {
+            Ok(batch) => batch,
+            // The first read tells how the store fails.
+            Err(_error) => pending().await,
+        }
+    };
+    tokio::select! {
+        read = first => read,
+        batch = repeated => Ok(batch),
+    }
+}
