Ask whether a target lives whose answer has ended with its connection

Cause: the kernel closes the connections of a process that exits or is killed regularly. An answer with neither a length nor chunks ends with its connection, so its end and the end of its target looked the same.

Ruled out: an error of the connection that gets lost, as answers with a length or chunks were resumed or failed in all cases.

Change: such an answer is complete if its target accepts a connection by the same way afterwards, which stays open for 50 ms; the gateway that holds a tunnel has to answer as well. Otherwise it has broken off and is resumed, repeated or failed as ever. A stopping gateway that is asked answers with a new status, which older ones take for a refusal. A transfer coding other than chunks counts as such an answer.

--- a/crates/toucan_gateway/src/paths/tunnel_request.rs
+++ b/crates/toucan_gateway/src/paths/tunnel_request.rs
@@ -27,6 +27,9 @@
     TargetUnknown = 3,
     /// The gateway has no room, is about to stop, or is cut off itself.
     Unavailable = 4,
+    /// The gateway is about to stop, but can connect to the target. To gateways that do not know this status it says as
+    /// little as [`Self::Unavailable`].
+    TargetReachable = 5,
 }
 
 /// {0} stands for no status of a tunnel
@@ -50,6 +53,7 @@
             2 => Ok(Self::TargetUnreachable),
             3 => Ok(Self::TargetUnknown),
             4 => Ok(Self::Unavailable),
+            5 => Ok(Self::TargetReachable),
             _ => Err(UnknownTunnelStatus(byte)),
         }
     }
--- a/crates/toucan_gateway/src/serving/body_framing.rs
+++ b/crates/toucan_gateway/src/serving/body_framing.rs
@@ -1,6 +1,8 @@
 //! How the end of a response's body is marked.
 
 use http::{HeaderMap, header};
+use http_body::Body;
+use hyper::body::Incoming;
 
 /// How the end of a response's body is marked.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -17,12 +19,13 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing of a response with these headers.
-    pub(crate) fn of_response(headers: &HeaderMap) -> Self {
-        if headers.contains_key(header::TRANSFER_ENCODING) {
-            Self::Chunks
-        } else if headers.contains_key(header::CONTENT_LENGTH) {
+    /// Returns the framing of a response with these headers, of whose body nothing was read yet.
+    pub(crate) fn of_response(headers: &HeaderMap, body: &Incoming) -> Self {
+        // A response to which no body belongs, such as one with status 204, has ended already.
+        if body.is_end_stream() || body.size_hint().exact().is_some() {
             Self::Length
+        } else if has_chunks(headers) {
+            Self::Chunks
         } else {
             Self::Close
         }
@@ -38,3 +41,14 @@
         }
     }
 }
+
+/// Returns whether chunks are the last of the transfer codings, without which the connection marks the end.
+fn has_chunks(headers: &HeaderMap) -> bool {
+    let codings = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back();
+    let codings = codings.and_then(|value| value.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -19,7 +19,7 @@
     socket_options::{SlowPeerOptions, discard_when_closed, set_target_timeout},
 };
 
-use super::tunnel_client::{TunnelConnector, TunnelFailure};
+use super::tunnel_client::{Tunnel, TunnelConnector, TunnelFailure, TunnelHolder};
 
 /// Maximum wait until an idle connection is ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -122,6 +122,22 @@
     usable_until_ms: u64,
 }
 
+/// The way of a connection to a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionPath {
+    /// To the target itself.
+    Direct,
+    /// By way of another gateway.
+    Tunnel(TunnelHolder),
+}
+
+impl ConnectionPath {
+    /// Returns whether it leads by way of another gateway.
+    pub(crate) const fn is_tunnel(&self) -> bool {
+        matches!(self, Self::Tunnel(_))
+    }
+}
+
 /// A connection to a target, used by one call at a time.
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
@@ -129,8 +145,8 @@
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// Whether the connection has served a call before.
     pub(crate) is_reused: bool,
-    /// Whether it goes by way of another gateway.
-    pub(crate) is_tunnelled: bool,
+    /// The way that it goes.
+    pub(crate) path: ConnectionPath,
     address: SocketAddrV4,
     started_at_unix_ms: u64,
     _open: OpenGuard,
@@ -202,20 +218,51 @@
         now_ms: u64,
         tunnels: &impl TunnelConnector,
     ) -> Result<(), ConnectFailure> {
-        let mut connection = match self.connect_directly(target, u64::MAX, true).await {
-            Ok(connection) => connection,
-            Err(failure) if failure.error.is_of_peer() => {
-                let tunnelled = self.connect_by_tunnel(target, tunnels).await;
-                tunnelled.ok_or(failure)?
-            }
-            Err(failure) => return Err(failure),
-        };
+        let mut connection = self.connect_by_any_way(target, tunnels).await?;
         // The driver of a new connection reports it as ready once it has run.
         let _ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
         self.check_in(&target.name, connection, None, now_ms);
         Ok(())
     }
 
+    /// Opens a connection to the target, by way of another gateway if this VM cannot.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectFailure`] if the target does not accept it.
+    pub(crate) async fn connect_by_any_way(
+        self: &Rc<Self>,
+        target: &TargetEntry,
+        tunnels: &impl TunnelConnector,
+    ) -> Result<TargetConnection, ConnectFailure> {
+        match self.connect_directly(target, u64::MAX, true).await {
+            Err(failure) if failure.error.is_of_peer() => {
+                let tunnelled = self.connect_by_tunnel(target, tunnels).await;
+                tunnelled.ok_or(failure)
+            }
+            connected => connected,
+        }
+    }
+
+    /// Returns a connection to the target for a tunnel that another gateway has opened; [`None`] if it closed at once.
+    pub(crate) async fn connection_of(
+        self: &Rc<Self>,
+        target: &TargetEntry,
+        tunnel: Tunnel,
+    ) -> Option<TargetConnection> {
+        let open = self.count_open(target);
+        let sender = start_http(tunnel.stream, self.slow_peer_options).await;
+        metrics::counter!("toucan_target_connections_total", "path" => "tunnel").increment(1);
+        Some(TargetConnection {
+            sender: sender.ok()?,
+            is_reused: false,
+            path: ConnectionPath::Tunnel(tunnel.holder),
+            address: target.address,
+            started_at_unix_ms: target.started_at_unix_ms,
+            _open: open,
+        })
+    }
+
     /// Makes a connection whose last response was read to its end available again.
     pub(crate) fn check_in(
         &self,
@@ -228,7 +275,7 @@
             return;
         }
         let idle_ms = keep_alive.map_or(DEFAULT_IDLE_MS, |time| time.as_millis() as u64);
-        let idle_ms = if connection.is_tunnelled {
+        let idle_ms = if connection.path.is_tunnel() {
             idle_ms.min(TUNNEL_IDLE_MS)
         } else {
             idle_ms
@@ -413,7 +460,7 @@
                 .get_mut(&target.name)?
                 .idle
                 .pop()?;
-            let is_same = idle.connection.is_tunnelled == is_tunnelled
+            let is_same = idle.connection.path.is_tunnel() == is_tunnelled
                 && idle.connection.address == target.address
                 && idle.connection.started_at_unix_ms == target.started_at_unix_ms;
             if is_same && now_ms < idle.usable_until_ms && !idle.connection.sender.is_closed() {
@@ -475,7 +522,7 @@
         Ok(TargetConnection {
             sender,
             is_reused: false,
-            is_tunnelled: false,
+            path: ConnectionPath::Direct,
             address: target.address,
             started_at_unix_ms: target.started_at_unix_ms,
             _open: open,
@@ -488,26 +535,19 @@
         target: &TargetEntry,
         tunnels: &impl TunnelConnector,
     ) -> Option<TargetConnection> {
+        // Counted while it is being established, too.
         let open = self.count_open(target);
         let connected = tunnels.connect(target).await;
         let result = match &connected {
-            Ok(_stream) => Some(TunnelResult::Connected),
+            Ok(_tunnel) => Some(TunnelResult::Connected),
             Err(TunnelFailure::TargetUnreachable) => Some(TunnelResult::Failed),
             Err(TunnelFailure::NoTunnel) => None,
         };
         if let Some(result) = result {
             self.record_tunnelled(target, result);
         }
-        let sender = start_http(connected.ok()?, self.slow_peer_options).await;
-        metrics::counter!("toucan_target_connections_total", "path" => "tunnel").increment(1);
-        Some(TargetConnection {
-            sender: sender.ok()?,
-            is_reused: false,
-            is_tunnelled: true,
-            address: target.address,
-            started_at_unix_ms: target.started_at_unix_ms,
-            _open: open,
-        })
+        drop(open);
+        self.connection_of(target, connected.ok()?).await
     }
 
     fn record_tunnelled(&self, target: &TargetEntry, result: TunnelResult) {
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -25,7 +25,8 @@
 };
 
 use super::{
-    ConnectionPool, TargetConnection, body_framing::BodyFraming, tunnel_client::TunnelConnector,
+    ConnectionPath, ConnectionPool, TargetConnection, answer_end::has_outlived_answer,
+    body_framing::BodyFraming, tunnel_client::TunnelConnector,
 };
 
 /// Maximum number of heads that announce another one, such as early hints, before the head of a response.
@@ -89,6 +90,21 @@
 }
 
 impl OpenResponse {
+    /// Returns whether the body, which was read to its end, is whole as far as can be found out.
+    ///
+    /// The end of a body without a length or chunks is that of its connection, which a target that ends or is killed
+    /// brings about as well. Only then this takes time.
+    pub(crate) async fn is_whole(
+        &self,
+        target: &TargetEntry,
+        pool: &Rc<ConnectionPool>,
+        tunnels: &impl TunnelConnector,
+        now_ms: u64,
+    ) -> bool {
+        self.framing != BodyFraming::Close
+            || has_outlived_answer(target, &self.connection.path, pool, tunnels, now_ms).await
+    }
+
     /// Returns the connection to the pool after the body was read to its end.
     pub(crate) fn release_connection(self, pool: &ConnectionPool, now_ms: u64) {
         pool.check_in(&self.target, self.connection, self.keep_alive, now_ms);
@@ -155,7 +171,7 @@
         Some(_unsent) => SendFailure::NotSent(CallOutcome::Broken),
         None => SendFailure::MayHaveRun(CallOutcome::of_connection_error(error.error())),
     })?;
-    if !connection.is_tunnelled {
+    if connection.path == ConnectionPath::Direct {
         pool.record_response(exchange.target, sent_at.elapsed().as_millis() as u64);
     }
     let (parts, body) = response.into_parts();
@@ -190,7 +206,7 @@
     let keep_alive = keep_alive_timeout(&parts.headers);
     Ok(OpenResponse {
         status: parts.status,
-        framing: BodyFraming::of_response(&parts.headers),
+        framing: BodyFraming::of_response(&parts.headers, &body),
         headers: parts.headers,
         body,
         head,
--- a/crates/toucan_gateway/src/serving/in_flight_call.rs
+++ b/crates/toucan_gateway/src/serving/in_flight_call.rs
@@ -12,7 +12,7 @@
     tasks::target_check::record_broken_call,
 };
 
-use super::call::Call;
+use super::{call::Call, exchange::OpenResponse};
 
 /// Shortest time between two reports that the progress of an answer gives rise to.
 const SOUND_REPORT_INTERVAL_MS: u64 = 250;
@@ -73,6 +73,15 @@
         &self.target.name
     }
 
+    /// Returns whether the body of a response, which was read to its end, is whole as far as can be found out.
+    pub(crate) async fn is_whole(&self, response: &OpenResponse) -> bool {
+        let gateway = &self.gateway;
+        let now_ms = gateway.now_ms();
+        response
+            .is_whole(&self.target, &gateway.pool, &**gateway, now_ms)
+            .await
+    }
+
     /// Records the first event of the response, which shows that the target has read the prompt.
     pub(crate) fn record_first_event(&mut self) {
         let now_ms = self.gateway.now_ms();
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Serves calls: connections of callers, admission, and forwarding to targets.
 
+mod answer_end;
 mod body_framing;
 mod call;
 mod call_log;
@@ -26,6 +27,6 @@
 pub(crate) mod tunnel_server;
 
 pub(crate) use call::Call;
-pub(crate) use connection_pool::{ConnectionPool, TargetConnection};
+pub(crate) use connection_pool::{ConnectionPath, ConnectionPool, TargetConnection};
 pub(crate) use reserve_tokens::{TokenWait, WaitKind};
 pub(crate) use serve_call::serve_call;
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -84,7 +84,7 @@
                     Ok(None) if splitter.is_inside_event() => {
                         break StreamEnd::Failed(CallOutcome::Broken);
                     }
-                    Ok(None) => break StreamEnd::Complete,
+                    Ok(None) => break end_of_body(&source, &call, gateway.now_ms()).await,
                     Ok(Some(Err(error))) => {
                         break StreamEnd::Failed(CallOutcome::of_connection_error(&error));
                     }
@@ -150,6 +150,21 @@
     }
 }
 
+/// Returns how a stream has ended whose body was read to its regular end.
+async fn end_of_body<P: Platform>(
+    source: &EventResponse<P>,
+    call: &Call,
+    now_ms: u64,
+) -> StreamEnd {
+    let left = Duration::from_millis(call.left_ms(now_ms));
+    let is_whole = source.in_flight_call.is_whole(&source.response);
+    match timeout(left, is_whole).await {
+        Ok(true) => StreamEnd::Complete,
+        Ok(false) => StreamEnd::Failed(CallOutcome::Broken),
+        Err(_elapsed) => StreamEnd::DeadlineReached,
+    }
+}
+
 /// Returns the maximum number of tokens in one event of the service's engines.
 fn tokens_per_event(call: &Call) -> u64 {
     call.service_settings()
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -372,6 +372,11 @@
         log::warn!(target: "call", id = call.id.as_str(), name = in_flight_call.target().as_str(), error:% = error; "the answer is discarded and its connection closed");
         broken
     })?;
+    let left = Duration::from_millis(call.left_ms(gateway.now_ms()));
+    let is_whole = timeout(left, in_flight_call.is_whole(&response)).await;
+    if !is_whole.unwrap_or(false) {
+        return Err(broken);
+    }
     let full = FullResponse {
         status: response.status,
         headers: std::mem::take(&mut response.headers),
--- a/crates/toucan_gateway/src/serving/tunnel_client.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_client.rs
@@ -1,6 +1,6 @@
 //! Connections to targets by way of other gateways.
 
-use std::{io, time::Duration};
+use std::{io, net::SocketAddrV4, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -33,7 +33,43 @@
     /// # Errors
     ///
     /// [`TunnelFailure`] if there is none.
-    async fn connect(&self, target: &TargetEntry) -> Result<TcpStream, TunnelFailure>;
+    async fn connect(&self, target: &TargetEntry) -> Result<Tunnel, TunnelFailure>;
+
+    /// Asks the gateway that holds a tunnel to the target for another one, and returns what it answers.
+    async fn ask_again(&self, holder: &TunnelHolder, target: &TargetEntry) -> TunnelAnswer;
+}
+
+/// A connection to a target by way of another gateway.
+#[derive(Debug)]
+pub(crate) struct Tunnel {
+    /// Connection to the other gateway, which passes all bytes on.
+    pub(crate) stream: TcpStream,
+    /// The other gateway.
+    pub(crate) holder: TunnelHolder,
+}
+
+/// The process through which a tunnel goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct TunnelHolder {
+    /// Its VM.
+    pub(crate) vm: VmName,
+    /// Random identifier of its start.
+    pub(crate) start: u64,
+}
+
+/// What a gateway answers that was asked for a tunnel to a target.
+#[derive(Debug)]
+pub(crate) enum TunnelAnswer {
+    /// It is connected to the target.
+    Connected(Tunnel),
+    /// It can connect to the target, but opens no tunnel.
+    TargetReachable,
+    /// It cannot connect to the target.
+    TargetUnreachable,
+    /// It has not tried.
+    NotTried,
+    /// It did not answer in time, or has ended.
+    None,
 }
 
 /// Why there is no connection by way of another gateway.
@@ -56,23 +92,30 @@
             .is_empty()
     }
 
-    async fn connect(&self, target: &TargetEntry) -> Result<TcpStream, TunnelFailure> {
+    async fn connect(&self, target: &TargetEntry) -> Result<Tunnel, TunnelFailure> {
         let mut failure = TunnelFailure::NoTunnel;
         for vm in self.peers_to_ask() {
-            match self.connect_by(&vm, target).await {
-                Ok(stream) => return Ok(stream),
-                Err(found) => {
-                    log::debug!(target: "pool", vm = vm.as_str(), name = target.name.as_str(), failure:? = found; "another gateway does not connect to the target");
-                    let now_ms = self.now_ms();
-                    self.tunnel_peers.borrow_mut().record_failure(&vm, now_ms);
-                    if found == TunnelFailure::TargetUnreachable {
-                        failure = found;
-                    }
-                }
+            let Some(holder) = self.holder(vm) else {
+                continue;
+            };
+            let answer = self.ask(&holder, target).await;
+            if let TunnelAnswer::Connected(tunnel) = answer {
+                return Ok(tunnel);
+            }
+            log::debug!(target: "pool", vm = holder.vm.as_str(), name = target.name.as_str(), answer:? = answer; "another gateway does not connect to the target");
+            let now_ms = self.now_ms();
+            let mut peers = self.tunnel_peers.borrow_mut();
+            peers.record_failure(&holder.vm, now_ms);
+            if matches!(answer, TunnelAnswer::TargetUnreachable) {
+                failure = TunnelFailure::TargetUnreachable;
             }
         }
         Err(failure)
     }
+
+    async fn ask_again(&self, holder: &TunnelHolder, target: &TargetEntry) -> TunnelAnswer {
+        self.ask(holder, target).await
+    }
 }
 
 impl<P: Platform> Gateway<P> {
@@ -86,38 +129,58 @@
             .choose(&self.location.vm, &peers, now_ms)
     }
 
-    async fn connect_by(
+    /// Returns the process that runs on a VM; [`None`] if none is registered.
+    fn holder(&self, vm: VmName) -> Option<TunnelHolder> {
+        let start = self.state.borrow().members.start_of(&vm)?;
+        Some(TunnelHolder { vm, start })
+    }
+
+    /// Asks a process for a tunnel to a target.
+    async fn ask(&self, holder: &TunnelHolder, target: &TargetEntry) -> TunnelAnswer {
+        let Some((address, message)) = self.tunnel_request(holder, target) else {
+            return TunnelAnswer::None;
+        };
+        let Ok(mut stream) = connect_tcp(address, CONNECT_TIMEOUT, None).await else {
+            return TunnelAnswer::None;
+        };
+        discard_when_closed(&stream);
+        match timeout(ANSWER_TIMEOUT, exchange(&mut stream, &message)).await {
+            Ok(Ok(TunnelStatus::Connected)) => TunnelAnswer::Connected(Tunnel {
+                stream,
+                holder: holder.clone(),
+            }),
+            Ok(Ok(TunnelStatus::TargetReachable)) => TunnelAnswer::TargetReachable,
+            Ok(Ok(TunnelStatus::TargetUnreachable)) => TunnelAnswer::TargetUnreachable,
+            Ok(Ok(TunnelStatus::TargetUnknown | TunnelStatus::Unavailable)) => {
+                TunnelAnswer::NotTried
+            }
+            Ok(Err(_)) | Err(_) => TunnelAnswer::None,
+        }
+    }
+
+    /// Returns the address of a process and the request to it; [`None`] if it is no longer registered.
+    fn tunnel_request(
         &self,
-        vm: &VmName,
+        holder: &TunnelHolder,
         target: &TargetEntry,
-    ) -> Result<TcpStream, TunnelFailure> {
-        let (address, receiver_start) = {
+    ) -> Option<(SocketAddrV4, Vec<u8>)> {
+        let address = {
             let mut state = self.state.borrow_mut();
-            let member = state.members.get_mut(vm).ok_or(TunnelFailure::NoTunnel)?;
-            (member.entry.address, member.entry.start)
+            let member = state.members.get_mut(&holder.vm)?;
+            (member.entry.start == holder.start).then_some(member.entry.address)?
         };
         let request = TunnelRequest {
-            receiver_start,
+            receiver_start: holder.start,
             target: target.name.clone(),
             started_at_unix_ms: target.started_at_unix_ms,
         };
-        let message = self
-            .encode_datagram(PeerMessage::OpenTunnel(request))
-            .ok_or(TunnelFailure::NoTunnel)?;
-        let stream = connect_tcp(address, CONNECT_TIMEOUT, None).await;
-        let mut stream = stream.map_err(|_error| TunnelFailure::NoTunnel)?;
-        discard_when_closed(&stream);
-        let asked = timeout(ANSWER_TIMEOUT, ask(&mut stream, &message)).await;
-        match asked {
-            Ok(Ok(TunnelStatus::Connected)) => Ok(stream),
-            Ok(Ok(TunnelStatus::TargetUnreachable)) => Err(TunnelFailure::TargetUnreachable),
-            _ => Err(TunnelFailure::NoTunnel),
-        }
+        let message = self.encode_datagram(PeerMessage::OpenTunnel(request))?;
+        Some((address, message))
     }
 }
 
 /// Sends a request with its length and reads the answer.
-async fn ask(stream: &mut TcpStream, message: &[u8]) -> io::Result<TunnelStatus> {
+async fn exchange(stream: &mut TcpStream, message: &[u8]) -> io::Result<TunnelStatus> {
     let length = u16::try_from(message.len()).map_err(io::Error::other)?;
     let bytes = [&length.to_be_bytes(), message].concat();
     stream.write_all(&bytes).await?;
--- a/crates/toucan_gateway/src/serving/tunnel_server.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_server.rs
@@ -1,6 +1,11 @@
 //! Connects to targets for gateways that are cut off from them.
 
-use std::{cell::Cell, io, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    io::{self, ErrorKind},
+    rc::Rc,
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -18,7 +23,7 @@
     tasks::peer_exchange::sender_key,
 };
 
-use super::tunnel_relay::relay;
+use super::{answer_end::SETTLE_TIME, tunnel_relay::relay};
 
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -118,7 +123,7 @@
 ) -> io::Result<TunnelRequest> {
     let length = caller.read_u16().await?;
     if length > MAX_REQUEST_BYTES {
-        return Err(io::ErrorKind::InvalidData.into());
+        return Err(ErrorKind::InvalidData.into());
     }
     let mut bytes = vec![0; usize::from(length)];
     caller.read_exact(&mut bytes).await?;
@@ -127,7 +132,7 @@
         PeerMessage::OpenTunnel(request) if request.receiver_start == gateway.start_id() => {
             Ok(request)
         }
-        _ => Err(io::ErrorKind::InvalidData.into()),
+        _ => Err(ErrorKind::InvalidData.into()),
     }
 }
 
@@ -137,15 +142,31 @@
 ) -> Result<TcpStream, TunnelStatus> {
     let target = known_target(gateway, request).ok_or(TunnelStatus::TargetUnknown)?;
     // A gateway that is cut off itself does not ask a third one, so no request goes round in circles.
-    if gateway.pool.path_to(&target) == Path::Tunnel || gateway.refuses_new_calls() {
+    if gateway.pool.path_to(&target) == Path::Tunnel {
         return Err(TunnelStatus::Unavailable);
     }
     let connected = gateway
         .pool
         .connect_tcp_directly(&target, CONNECT_TIMEOUT_MS);
-    connected
+    let stream = connected
         .await
-        .map_err(|_failure| TunnelStatus::TargetUnreachable)
+        .map_err(|_failure| TunnelStatus::TargetUnreachable)?;
+    if !gateway.refuses_new_calls() {
+        return Ok(stream);
+    }
+    // The asking gateway may want to know whether the target has outlived an answer.
+    sleep(SETTLE_TIME).await;
+    Err(if is_open(&stream) {
+        TunnelStatus::TargetReachable
+    } else {
+        TunnelStatus::TargetUnreachable
+    })
+}
+
+/// Returns whether the peer has not closed a connection on which it has sent nothing.
+fn is_open(stream: &TcpStream) -> bool {
+    let read = stream.try_read(&mut [0]);
+    read.is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
 }
 
 fn known_target<P: Platform>(
