--- a/crates/toucan_gateway/tests/fleet_shares.rs
+++ b/crates/toucan_gateway/tests/fleet_shares.rs
@@ -22,6 +22,7 @@
     Bounds {
         stop_ms: 8_000,
         drain_ms: 2_000,
+        contact_ms: 3_000,
         heartbeat_ms: 1_200,
         retry_ratio: 0.2,
         retry_slack: 56,
