Take the only version for that of a stream after a read that is newer than its break

Callers got streams joined from two software versions: a gateway that was cut off or stood still while targets of a new version joined let a stream go on at the former version, which another gateway had begun at the new one.

Cause: a version that was watched alone counted as that of any stream for up to 2 s after the last read of the registrations, and a read counted as of the time of its answer. What had joined since was not thought of.

Ruled out: a wrong origin from the store or from another gateway, which name the attempt exactly.

Change: the registrations have to be read to their end by a read that began after the caller resumed the stream; otherwise the call is refused as not run. One read serves all calls that wait, by the same code as for stored origins.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -32,6 +32,7 @@
     socket_options::SlowPeerOptions,
     state::GatewayState,
     streams::{OriginLookups, StreamOrigin},
+    tasks::fresh_read::FreshRead,
 };
 
 /// Maximum age of a budget snapshot that may show a budget as exhausted.
@@ -55,10 +56,10 @@
     pub(crate) origins_changed: Notify,
     /// Wakes the task that writes where streams began.
     pub(crate) origin_waiting: Notify,
-    /// Wakes the task that reads where streams began.
-    pub(crate) origins_requested: Notify,
-    /// Start time of the last completed read of where streams began.
-    pub(crate) origins_read_at: watch::Sender<u64>,
+    /// Reads of where streams began, as the store tells.
+    pub(crate) stored_origins: FreshRead,
+    /// Reads of the targets' registrations.
+    pub(crate) registrations: FreshRead,
     /// Notifies calls that wait for tokens.
     pub(crate) tokens_changed: Notify,
     /// Notifies calls that wait for the trial of a part.
@@ -116,8 +117,8 @@
             origin_lookups: RefCell::default(),
             origins_changed: Notify::new(),
             origin_waiting: Notify::new(),
-            origins_requested: Notify::new(),
-            origins_read_at: watch::channel(0).0,
+            stored_origins: FreshRead::default(),
+            registrations: FreshRead::default(),
             tokens_changed: Notify::new(),
             poison_changed: Notify::new(),
             permits_changed: Notify::new(),
--- a/crates/toucan_gateway/src/serving/resumption.rs
+++ b/crates/toucan_gateway/src/serving/resumption.rs
@@ -123,6 +123,7 @@
     call: &Call,
     first_attempt: Option<&RequestId>,
 ) -> Option<(StreamOrigin, Evidence)> {
+    let resumed_ms = gateway.now_ms();
     if let Some(attempt) = first_attempt {
         if let Some(origin) = gateway.stream_origin(attempt) {
             return Some((origin, Evidence::Known));
@@ -134,9 +135,13 @@
             return Some((origin, Evidence::Stored));
         }
     }
+    // Another gateway may have begun the stream at a version that this one has not read of yet.
+    if !gateway.registrations.wait_since(resumed_ms).await {
+        return None;
+    }
     let state = gateway.state.borrow();
     let versions = &state.target_versions;
-    let sole_version = versions.sole_version(&call.service, gateway.now_ms());
+    let sole_version = versions.sole_version(&call.service, resumed_ms);
     let software_version = sole_version?.clone();
     let service = call.service.clone();
     let origin = StreamOrigin {
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod config_watch;
 pub(crate) mod evacuation_records;
+pub(crate) mod fresh_read;
 pub(crate) mod grant_sync;
 mod loan_exchange;
 pub(crate) mod membership;
--- a/crates/toucan_gateway/src/tasks/origin_sync.rs
+++ b/crates/toucan_gateway/src/tasks/origin_sync.rs
@@ -27,8 +27,6 @@
 const KEY_SEPARATOR: char = '\u{1f}';
 /// Longest time until it is looked again whether a write is due.
 const MAX_WRITE_WAIT: Duration = Duration::from_secs(60);
-/// Longest time for which a call waits until the origins in the store have been read.
-const MAX_READ_WAIT: Duration = Duration::from_millis(500);
 
 /// Writes the origins of running streams until the process ends.
 pub(crate) async fn write_origins<P: Platform>(gateway: Rc<Gateway<P>>) {
@@ -84,16 +82,16 @@
         .collect();
     let mut health = StoreHealth::new("stream_origins");
     loop {
-        gateway.origins_requested.notified().await;
+        gateway.stored_origins.requested().await;
         let began_ms = gateway.now_ms();
         match read_all(&gateway, &mut consumers).await {
             Ok(()) => {
                 health.record_success(gateway.now_ms());
-                gateway.origins_read_at.send_replace(began_ms);
+                gateway.stored_origins.complete(began_ms);
             }
             Err(error) => {
                 let pause = health.record_failure(&error, gateway.now_ms());
-                gateway.origins_requested.notify_one();
+                gateway.stored_origins.request();
                 sleep(pause).await;
             }
         }
@@ -105,15 +103,8 @@
     gateway: &Rc<Gateway<P>>,
     attempt: &RequestId,
 ) -> Option<StreamOrigin> {
-    let requested_ms = gateway.now_ms();
-    let mut read_times = gateway.origins_read_at.subscribe();
-    gateway.origins_requested.notify_one();
-    // A read that began earlier may miss what was written since.
-    let is_read = read_times.wait_for(|began_ms| *began_ms >= requested_ms);
-    let Ok(Ok(_began_ms)) = timeout(MAX_READ_WAIT, is_read).await else {
-        return None;
-    };
-    gateway.stream_origin(attempt)
+    let is_read = gateway.stored_origins.wait_since(gateway.now_ms()).await;
+    is_read.then(|| gateway.stream_origin(attempt))?
 }
 
 async fn append<P: Platform>(gateway: &Gateway<P>, write: &OriginWrite) -> Result<(), AppendError> {
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use toucan_types::{FastHashSet, TargetName};
 
 use crate::{
@@ -17,7 +17,7 @@
     store_health::StoreHealth,
 };
 
-/// Interval between two reads. Targets write often, and one read returns the records of all.
+/// Interval between two reads, unless a call waits for one. Targets write often, and one read returns the records of all.
 const POLL_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time by which the clocks of targets may be ahead. An entry with a later start would shut out the target that has
@@ -31,6 +31,7 @@
     let mut grace = DeregistrationGrace::new(gateway.bounds().heartbeat_ms);
     let mut last_read_ms = gateway.now_ms();
     loop {
+        let began_ms = gateway.now_ms();
         match consumer.read(&gateway.platform, Duration::ZERO).await {
             Ok(consumed) => {
                 let now_ms = gateway.now_ms();
@@ -49,20 +50,27 @@
                     }
                 }
                 remove_expired(&gateway, now_ms);
-                record_read(&gateway, now_ms);
+                gateway.state.borrow_mut().targets_loaded = true;
                 gateway.report_if_all_evacuated();
-                sleep(POLL_INTERVAL).await;
+                if consumed.batch.next < consumed.batch.end {
+                    // There are more records than one answer holds.
+                    continue;
+                }
+                record_read(&gateway, began_ms);
+                // The loop reads again whether the wait ended by a request or by the timeout.
+                let _elapsed = timeout(POLL_INTERVAL, gateway.registrations.requested()).await;
             }
             Err(error) => sleep(health.record_failure(&error, gateway.now_ms())).await,
         }
     }
 }
 
-fn record_read<P: Platform>(gateway: &Rc<Gateway<P>>, now_ms: u64) {
+/// Records that all registrations up to a read that began at `began_ms` are known.
+fn record_read<P: Platform>(gateway: &Rc<Gateway<P>>, began_ms: u64) {
     let state = &mut *gateway.state.borrow_mut();
     let entries = state.targets.iter().map(|target| &*target.entry);
-    state.target_versions.record_read(entries, now_ms);
-    state.targets_loaded = true;
+    state.target_versions.record_read(entries, began_ms);
+    gateway.registrations.complete(began_ms);
 }
 
 fn apply_record<P: Platform>(
