Refuse calls that may outlast a planned stop, and answer those that do

Callers whose calls came up to 2.5 s after SIGTERM got a closed connection at nine tenths of the time for the stop, also for calls that may run once and that the target was running.

Cause: the stop asked only for how long it had accepted calls, not for how long a call may still take, and closed the connections of what was left.

The calls had reached the target, which rules out the listener.

Change: a call that may run once is sent only if it ends in time, by its time limit or by the longest recent call of its route and a quarter; otherwise it is refused as not run. What targets have not answered at the end gets 502, or 503 if it was not sent, and 0.1 s to reach its caller.

--- a/crates/toucan_gateway/src/error.rs
+++ b/crates/toucan_gateway/src/error.rs
@@ -62,6 +62,8 @@
     TooLate,
     /// the process stops
     Stopping,
+    /// the process stops before the target has answered, which may have run the call
+    StoppedBeforeAnswer,
     /// the target failed and may have run the call
     TargetFailed,
     /// the target did not answer in time and may have run the call
@@ -116,7 +118,7 @@
             | Self::CannotConnect
             | Self::BuffersFull { .. }
             | Self::GatewayBusy { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Self::TargetFailed => StatusCode::BAD_GATEWAY,
+            Self::TargetFailed | Self::StoppedBeforeAnswer => StatusCode::BAD_GATEWAY,
             Self::TargetSilent => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -124,7 +126,10 @@
     /// Returns whether it is certain that the call has not run and never will.
     #[must_use]
     pub const fn is_not_run(self) -> bool {
-        !matches!(self, Self::TargetFailed | Self::TargetSilent)
+        !matches!(
+            self,
+            Self::TargetFailed | Self::TargetSilent | Self::StoppedBeforeAnswer
+        )
     }
 
     /// Returns the time after which a retry may succeed; [`None`] if retrying does not help.
@@ -163,6 +168,7 @@
         matches!(
             self,
             Self::Stopping
+                | Self::StoppedBeforeAnswer
                 | Self::CannotConnect
                 | Self::ConfigurationOutdated
                 | Self::GatewayBusy { .. }
@@ -203,6 +209,7 @@
             Self::TargetFull => "target_full",
             Self::TooLate => "too_late",
             Self::Stopping => "stopping",
+            Self::StoppedBeforeAnswer => "stopped_before_answer",
             Self::TargetFailed => "target_failed",
             Self::TargetSilent => "target_silent",
             Self::DataCentresEvacuated => "data_centres_evacuated",
--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -70,6 +70,8 @@
     pub(crate) grants_failed: Notify,
     /// Wakes the task that writes verdicts on parts.
     pub(crate) verdicts_changed: Notify,
+    /// Whether calls are ended whose targets have not answered yet, as the process ends.
+    pub(crate) calls_end: watch::Sender<bool>,
     /// Wakes the task that draws and returns tokens.
     pub(crate) sync_requested: Notify,
     /// Start time of the last completed synchronisation of the wallets with the store.
@@ -124,6 +126,7 @@
             permits_changed: Notify::new(),
             verdicts_changed: Notify::new(),
             grants_failed: Notify::new(),
+            calls_end: watch::channel(false).0,
             sync_requested: Notify::new(),
             grants_synced_at: watch::channel(0).0,
             listener_state: watch::channel(ListenerState::Open).0,
@@ -204,6 +207,13 @@
         self.state.borrow().refuses_new_calls(self.now_ms())
     }
 
+    /// Completes when calls are ended whose targets have not answered yet.
+    pub(crate) async fn calls_ended(&self) {
+        let mut calls_end = self.calls_end.subscribe();
+        // Fails only if the sender is gone, which lives as long as the gateway.
+        let _ended = calls_end.wait_for(|has_ended| *has_ended).await;
+    }
+
     /// Returns whether the retry budget of a service has a retry left.
     pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
         let state = self.state.borrow();
--- a/crates/toucan_gateway/src/overload/mod.rs
+++ b/crates/toucan_gateway/src/overload/mod.rs
@@ -1,6 +1,7 @@
 //! Load on this gateway and on the targets, and what is refused because of it.
 
 mod call_admission;
+mod call_durations;
 mod connect_result;
 mod fair_shares;
 mod link_monitor;
@@ -13,6 +14,7 @@
 mod utilisation_report;
 
 pub use call_admission::{CallAdmission, NoRoom};
+pub use call_durations::CallDurations;
 pub use connect_result::ConnectResult;
 pub use fair_shares::FairShares;
 pub use link_monitor::LinkMonitor;
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -245,6 +245,19 @@
         self.may_have_run = true;
     }
 
+    /// Returns whether a target may have run the call.
+    pub(crate) const fn may_have_run(&self) -> bool {
+        self.may_have_run
+    }
+
+    /// Records how long an answer took that was a success.
+    pub(crate) fn record_duration(&self, route: &str) {
+        let now_ms = self.gateway.now_ms();
+        let took_ms = now_ms.saturating_sub(self.log.began_ms);
+        let durations = &mut self.gateway.state.borrow_mut().call_durations;
+        durations.record(route, took_ms, now_ms);
+    }
+
     /// Marks the call as not run by any target.
     pub(crate) fn mark_not_run(&mut self) {
         self.may_have_run = false;
--- a/crates/toucan_gateway/src/serving/relay.rs
+++ b/crates/toucan_gateway/src/serving/relay.rs
@@ -105,6 +105,7 @@
                     }
                     delivery.all_taken().await;
                     forget_stream(&gateway, &call);
+                    tracker.record_duration(&call.route.name);
                     tracker.complete(status, "whole");
                 }
                 StreamEnd::OutOfMemory => {
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -89,6 +89,9 @@
         }
         check_poison(gateway, call, tracker).await?;
         let now_ms = gateway.now_ms();
+        if !call.progress.may_have_run && !ends_before_stop(gateway, call, now_ms) {
+            return Err((Refusal::Stopping, "the call may outlast the process"));
+        }
         let Some(chosen) = choose_for_call(gateway, call, now_ms) else {
             return Err((refusal_without_target(gateway, call), "no target is left"));
         };
@@ -147,6 +150,13 @@
     }
 }
 
+/// Returns whether a call may be sent as far as a planned stop is concerned.
+fn ends_before_stop<P: Platform>(gateway: &Gateway<P>, call: &Call, now_ms: u64) -> bool {
+    let stop_ms = gateway.bounds().stop_ms;
+    let state = gateway.state.borrow();
+    state.ends_before_stop(&call.route, call.left_ms(now_ms), stop_ms, now_ms)
+}
+
 /// Takes one retry from the retry budget of a service; returns false if none is left.
 pub(crate) fn take_retry<P: Platform>(
     gateway: &Rc<Gateway<P>>,
--- a/crates/toucan_gateway/src/serving/serve_call.rs
+++ b/crates/toucan_gateway/src/serving/serve_call.rs
@@ -56,7 +56,11 @@
     let mut tracker = CallTracker::new(Rc::clone(&gateway));
     let connection = request.extensions().get::<CallerConnection>().cloned();
     let understands_chunks = request.version() >= Version::HTTP_11;
-    let (call, response) = match admit_and_send(&gateway, request, &mut tracker).await {
+    let sent = tokio::select! {
+        sent = admit_and_send(&gateway, request, &mut tracker) => Some(sent),
+        () = gateway.calls_ended() => None,
+    };
+    let (call, response) = match sent.unwrap_or_else(|| Err(end_by_stop(&tracker))) {
         Ok(sent) => sent,
         Err((refusal, reason)) => {
             tracker.refuse(refusal, reason);
@@ -65,6 +69,9 @@
     };
     match response {
         TargetResponse::Full(full) => {
+            if full.status.is_success() {
+                tracker.record_duration(&call.route.name);
+            }
             let deadline = deadline_of(&gateway, &call);
             full_response(*full, &mut tracker, connection.as_ref(), deadline)
         }
@@ -107,6 +114,16 @@
     }
 }
 
+/// Returns the refusal of a call whose target has not answered when the process ends.
+fn end_by_stop<P: Platform>(tracker: &CallTracker<P>) -> Refused {
+    let refusal = if tracker.may_have_run() {
+        Refusal::StoppedBeforeAnswer
+    } else {
+        Refusal::Stopping
+    };
+    (refusal, "planned stop")
+}
+
 /// Builds a response with a length, for a caller that could not tell a stream which was broken off
 /// from a complete one.
 async fn collect_stream<S>(
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -7,9 +7,9 @@
 
 use crate::{
     budget::{RestoreGate, Wallet},
-    config::{Evacuations, FleetConfig},
+    config::{Evacuations, FleetConfig, Route},
     limits::{CallRate, PermitGrant, PermitGranter},
-    overload::{CallAdmission, FairShares, Relief, ReturnSchedule},
+    overload::{CallAdmission, CallDurations, FairShares, Relief, ReturnSchedule},
     peers::{GatewayLocation, Members},
     placement::{RecentDepartures, TargetTable},
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
@@ -22,6 +22,9 @@
 /// readiness once a second and notices a VM that is not ready within two probes.
 pub(crate) const SHUTDOWN_ACCEPT_MS: u64 = 2_500;
 
+/// Part of the time until the process is killed in which calls may complete, in thousandths.
+const DRAIN_PERMILLE: u64 = 900;
+
 /// Time for which a configuration is told again, in case a datagram was lost.
 const CONFIG_REPEAT_MS: u64 = 2_500;
 
@@ -94,6 +97,8 @@
     pub(crate) stopping_since_ms: Option<u64>,
     /// Number of calls in progress.
     pub(crate) calls_in_progress: u32,
+    /// How long calls have taken.
+    pub(crate) call_durations: CallDurations,
 }
 
 /// Tokens of one organisation that calls are waiting for.
@@ -211,6 +216,31 @@
         self.remaining_accept_ms(now_ms) == Some(0)
     }
 
+    /// Returns when calls in progress are cut off, `stop_ms` being the time until the process is killed; [`None`] if no
+    /// shutdown has begun.
+    pub(crate) fn cut_off_ms(&self, stop_ms: u64) -> Option<u64> {
+        let since_ms = self.stopping_since_ms?;
+        Some(since_ms + stop_ms * DRAIN_PERMILLE / 1_000)
+    }
+
+    /// Returns whether a call on a route that may run once can be sent and will have ended before the process does. One
+    /// that may be repeated is always sent.
+    pub(crate) fn ends_before_stop(
+        &self,
+        route: &Route,
+        left_ms: u64,
+        stop_ms: u64,
+        now_ms: u64,
+    ) -> bool {
+        let Some(cut_off_ms) = self.cut_off_ms(stop_ms) else {
+            return true;
+        };
+        let available_ms = cut_off_ms.saturating_sub(now_ms);
+        let durations = &self.call_durations;
+        route.kind.may_run_again()
+            || durations.ends_within(&route.name, left_ms, available_ms, now_ms)
+    }
+
     /// Returns the tokens of an organisation that calls to this gateway wait for and that its
     /// wallet lacks.
     pub(crate) fn missing_tokens(&mut self, organisation: &OrganisationName) -> Tokens {
--- a/crates/toucan_gateway/src/tasks/shutdown.rs
+++ b/crates/toucan_gateway/src/tasks/shutdown.rs
@@ -11,14 +11,14 @@
     grant_sync::return_idle_tokens, membership::deregister, peer_exchange::give_back_idle_tokens,
 };
 
-/// Fraction of the time until the process is killed in which calls may complete.
-const DRAIN_FRACTION: f64 = 0.9;
 /// Time for which borrowed tokens are offered to a holder.
 const GIVE_BACK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Timeout for deregistering this gateway. If it fails, the others detect its absence later.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Minimum timeout for returning tokens, used if calls were in progress until the end.
 const MIN_RETURN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time in which the answers to calls that are ended reach their callers.
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Interval at which the number of calls in progress is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -26,7 +26,8 @@
 pub(crate) async fn stop<P: Platform>(gateway: &Rc<Gateway<P>>) -> u32 {
     let began_ms = gateway.now_ms();
     gateway.state.borrow_mut().stopping_since_ms = Some(began_ms);
-    let drain_deadline_ms = began_ms + (gateway.bounds().stop_ms as f64 * DRAIN_FRACTION) as u64;
+    let cut_off_ms = gateway.state.borrow().cut_off_ms(gateway.bounds().stop_ms);
+    let drain_deadline_ms = cut_off_ms.unwrap_or(began_ms);
     log::info!(
         target: "process",
         calls = gateway.state.borrow().calls_in_progress,
@@ -39,6 +40,11 @@
     while has_work(gateway) && gateway.now_ms() < drain_deadline_ms {
         sleep(POLL_INTERVAL).await;
     }
+    if has_work(gateway) {
+        // Callers get an answer that tells what is known, and not a closed connection.
+        gateway.calls_end.send_replace(true);
+        sleep(FINAL_ANSWERS_TIME).await;
+    }
     // Tokens that are not returned are lost, so the store gets all the remaining time.
     let time_left = Duration::from_millis(drain_deadline_ms.saturating_sub(gateway.now_ms()));
     let returned = timeout(
