End a tunnel at once when the asking gateway resets it

Cause: while the target left no room, the helping gateway did not look at the connection of the asking one and so did not see its reset.

Change: a reset ends both connections, and what the target's has not sent is discarded. No byte between gateways changes.

--- a/crates/toucan_gateway/src/serving/tunnel_relay.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_relay.rs
@@ -6,7 +6,7 @@
 };
 
 use socket2::SockRef;
-use tokio::net::TcpStream;
+use tokio::{io::Interest, net::TcpStream};
 
 use crate::socket_options::close_regularly;
 
@@ -19,7 +19,8 @@
 /// passed on. An answer without a length would otherwise look complete that the target or this process has broken off.
 /// `caller` must be set to be reset when it is closed, which the kernel does also if this process is killed.
 ///
-/// A request that the asking gateway gives up ends with its connection, and what has not been sent of it is discarded.
+/// A request that the asking gateway gives up ends at once with its connection, which that gateway resets, and what has not
+/// been sent of it is discarded.
 pub(crate) async fn relay(caller: &TcpStream, target: &TcpStream) {
     tokio::select! {
         answers = pass(target, caller) => {
@@ -28,6 +29,8 @@
             }
         }
         _requests = pass(caller, target) => {}
+        // Seen also while the target leaves no room for what the asking gateway has sent before.
+        _reset = caller.ready(Interest::ERROR) => {}
     }
 }
 
