Let a planned stop wait for callers that still take their answers

Cause: the stop counted calls, and one with a whole answer had ended for it before a byte was written.

Change: the stop waits for the connections of callers that have sent a call; each ends when its answer was taken, as the listener is closing. Tunnels are counted by the same code.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -27,7 +27,7 @@
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
     placement::Departure,
     poison::PoisonTable,
-    serving::{ConnectionPool, http_listener::ListenerState},
+    serving::{ConnectionPool, connection_count::ConnectionCount, http_listener::ListenerState},
     settings::{Bounds, GatewaySettings, VmResources},
     socket_options::SlowPeerOptions,
     state::GatewayState,
@@ -83,7 +83,10 @@
     /// Other gateways that could not open tunnels a moment ago.
     pub(crate) tunnel_peers: RefCell<TunnelPeers>,
     /// Number of tunnels that are open for other gateways.
-    pub(crate) open_tunnels: Cell<u32>,
+    pub(crate) open_tunnels: ConnectionCount,
+    /// Connections of callers that have sent a call. Once the listener is closing, each ends when its caller has taken
+    /// the answer.
+    pub(crate) caller_connections: ConnectionCount,
     peers_socket: RefCell<Option<Rc<UdpSocket>>>,
 }
 
@@ -140,7 +143,8 @@
             start_id,
             datagram_key: rand::rng().random(),
             tunnel_peers: RefCell::default(),
-            open_tunnels: Cell::new(0),
+            open_tunnels: ConnectionCount::default(),
+            caller_connections: ConnectionCount::default(),
             peers_socket: RefCell::default(),
         }
     }
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -20,6 +20,7 @@
     duty::spawn_duty,
     inspection::render_page,
     serving::{
+        connection_count::ConnectionCount,
         http_listener::{ListenerState, serve_listener},
         response::{IncompleteResponse, ResponseBody, text_response},
         serve_call,
@@ -151,6 +152,7 @@
             limits,
             slow_caller,
             subscribe(),
+            self.caller_connections.clone(),
             calls,
         ));
 
@@ -165,6 +167,7 @@
             limits,
             None,
             open_state.clone(),
+            ConnectionCount::default(),
             probes,
         ));
         let gateway = Rc::clone(self);
@@ -179,6 +182,7 @@
             limits,
             None,
             open_state,
+            ConnectionCount::default(),
             inspections,
         ));
         Ok(())
--- a/crates/toucan_gateway/src/serving/http_listener.rs
+++ b/crates/toucan_gateway/src/serving/http_listener.rs
@@ -1,6 +1,6 @@
 //! Accepts connections and serves HTTP/1 on them.
 
-use std::{convert::Infallible, future::Future, rc::Rc, time::Duration};
+use std::{cell::OnceCell, convert::Infallible, future::Future, rc::Rc, time::Duration};
 
 use http::{Request, Response};
 use http_body::Body;
@@ -13,7 +13,7 @@
     socket_options::{SlowPeerOptions, set_liveness_options},
 };
 
-use super::caller_connection::CallerConnection;
+use super::{caller_connection::CallerConnection, connection_count::ConnectionCount};
 
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -32,13 +32,15 @@
 /// Accepts and serves connections until the process ends.
 ///
 /// Once the state is [`ListenerState::Closing`], open connections shut down gracefully. If `slow_peers` are
-/// given, each request has a [`CallerConnection`] in its extensions.
+/// given, each request has a [`CallerConnection`] in its extensions. `count` counts connections from their first request to
+/// their end.
 pub(crate) async fn serve_listener<H, F, B>(
     name: &'static str,
     listener: TcpListener,
     limits: impl Fn() -> CallerLimits,
     slow_peers: Option<SlowPeerOptions>,
     state: watch::Receiver<ListenerState>,
+    count: ConnectionCount,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
@@ -67,10 +69,13 @@
         let handler = Rc::clone(&handler);
         let limits = limits();
         let mut state = state.clone();
+        let count = count.clone();
         tokio::task::spawn_local(async move {
             let caller = slow_peers.map(|_options| CallerConnection::default());
             let handle = caller.clone();
+            let counted = OnceCell::new();
             let service = service_fn(move |mut request: Request<Incoming>| {
+                counted.get_or_init(|| count.count());
                 if let Some(handle) = &handle {
                     request.extensions_mut().insert(handle.clone());
                 }
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -7,6 +7,7 @@
 mod caller_connection;
 mod choose;
 mod collect_body;
+pub(crate) mod connection_count;
 mod connection_pool;
 mod delivery;
 mod exchange;
--- a/crates/toucan_gateway/src/serving/tunnel_server.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_server.rs
@@ -1,7 +1,6 @@
 //! Connects to targets for gateways that are cut off from them.
 
 use std::{
-    cell::Cell,
     io::{self, ErrorKind},
     rc::Rc,
     time::Duration,
@@ -53,25 +52,9 @@
     }
 }
 
-/// Guard that counts a connection for another gateway.
-struct TunnelGuard<'a>(&'a Cell<u32>);
-
-impl<'a> TunnelGuard<'a> {
-    fn new(count: &'a Cell<u32>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for TunnelGuard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 async fn serve<P: Platform>(gateway: Rc<Gateway<P>>, mut caller: TcpStream) {
     let has_room = gateway.open_tunnels.get() < max_tunnels(&gateway);
-    let _counted = TunnelGuard::new(&gateway.open_tunnels);
+    let _counted = gateway.open_tunnels.count();
     if let Err(error) = set_liveness_options(&caller) {
         log::debug!(target: "listener", name = "tunnels", error:% = error; "socket options cannot be set, the connection is closed");
         return;
--- a/crates/toucan_gateway/src/tasks/shutdown.rs
+++ b/crates/toucan_gateway/src/tasks/shutdown.rs
@@ -67,6 +67,7 @@
     log::info!(
         target: "process",
         cut_off = cut_off,
+        cut_off_answers = gateway.caller_connections.get(),
         cut_off_tunnels = gateway.open_tunnels.get(),
         took_ms = gateway.now_ms().saturating_sub(began_ms);
         "stopped"
@@ -74,9 +75,12 @@
     cut_off
 }
 
-/// Returns whether calls are in progress, or other gateways have connections to targets through this one.
+/// Returns whether calls are in progress, callers still take their answers, or other gateways have connections to targets
+/// through this one.
 fn has_work<P: Platform>(gateway: &Gateway<P>) -> bool {
-    gateway.state.borrow().calls_in_progress > 0 || gateway.open_tunnels.get() > 0
+    gateway.state.borrow().calls_in_progress > 0
+        || gateway.caller_connections.get() > 0
+        || gateway.open_tunnels.get() > 0
 }
 
 /// Gives borrowed tokens, which cannot be returned to the store, to another holder.
