Count large bodies against the memory in every deployment

Cause: calls were admitted by their number, whatever the size of their bodies, which were counted only where callers may read slowly.

Change: what a body holds beyond 64 KiB is counted where the memory is stated; such a body claims its announced size at once. Without room the call is refused as not run after its body was read and dropped.

--- a/crates/toucan_gateway/src/buffers/byte_accounts.rs
+++ b/crates/toucan_gateway/src/buffers/byte_accounts.rs
@@ -102,7 +102,7 @@
                 limits.organisation_read_ahead_bytes,
             ),
             BufferKind::WholeAnswer => (limits.whole_answer_bytes, limits.organisation_bytes),
-            BufferKind::RequestBody => (u64::MAX, limits.organisation_bytes),
+            BufferKind::RequestBody => (limits.body_bytes, limits.organisation_bytes),
             BufferKind::Connection => (u64::MAX, u64::MAX),
         };
         if exceeds(self.held_bytes(kind), kind_limit) {
--- a/crates/toucan_gateway/src/buffers/byte_limits.rs
+++ b/crates/toucan_gateway/src/buffers/byte_limits.rs
@@ -24,6 +24,9 @@
 /// Size up to which a whole answer is not counted where memory is not limited.
 const FREE_WHOLE_ANSWER_BYTES: u64 = 64 * 1024;
 
+/// Size up to which a request body is not counted, where what calls hold is limited by their number.
+const FREE_BODY_BYTES: u64 = 64 * 1024;
+
 /// Limits of the bytes that are held for callers and targets.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ByteLimits {
@@ -37,6 +40,10 @@
     pub answer_bytes: u64,
     /// Maximum of the events that are read ahead, for one organisation.
     pub organisation_read_ahead_bytes: u64,
+    /// Maximum of the request bodies of all organisations.
+    pub body_bytes: u64,
+    /// Size up to which each request body is not counted.
+    pub free_body_bytes: u64,
     /// Maximum of the request bodies of one organisation, and again of its whole answers.
     pub organisation_bytes: u64,
     /// Maximum of the answers that are read to their end before they are sent.
@@ -54,6 +61,8 @@
             read_ahead_bytes: u64::MAX,
             answer_bytes: u64::MAX,
             organisation_read_ahead_bytes: u64::MAX,
+            body_bytes: u64::MAX,
+            free_body_bytes: u64::MAX,
             organisation_bytes: u64::MAX,
             whole_answer_bytes: MAX_WHOLE_ANSWER_BYTES,
             free_whole_answer_bytes: FREE_WHOLE_ANSWER_BYTES,
@@ -62,6 +71,20 @@
 }
 
 impl ByteLimits {
+    /// Returns the limits for a VM with this memory, in bytes, whose callers and targets read at once. What a call
+    /// holds besides a large body is limited by the number of calls.
+    #[must_use]
+    pub fn for_large_bodies(memory_bytes: u64) -> Self {
+        let total_bytes = Self::for_memory(Some(memory_bytes)).total_bytes;
+        let whole_answer_bytes = MAX_WHOLE_ANSWER_BYTES.min(total_bytes / 2);
+        Self {
+            body_bytes: total_bytes - whole_answer_bytes,
+            free_body_bytes: FREE_BODY_BYTES,
+            whole_answer_bytes,
+            ..Self::default()
+        }
+    }
+
     /// Returns the limits for a VM with this memory, in bytes; [`None`] if it is not known.
     #[must_use]
     pub fn for_memory(memory_bytes: Option<u64>) -> Self {
@@ -76,6 +99,8 @@
             read_ahead_bytes: total_bytes / READ_AHEAD_DIVISOR,
             answer_bytes: total_bytes / ANSWER_DIVISOR,
             organisation_read_ahead_bytes: total_bytes / ORGANISATION_READ_AHEAD_DIVISOR,
+            body_bytes: total_bytes,
+            free_body_bytes: 0,
             organisation_bytes: total_bytes / ORGANISATION_DIVISOR,
             whole_answer_bytes: MAX_WHOLE_ANSWER_BYTES.min(total_bytes / 2),
             free_whole_answer_bytes: 0,
--- a/crates/toucan_gateway/src/buffers/call_buffers.rs
+++ b/crates/toucan_gateway/src/buffers/call_buffers.rs
@@ -37,7 +37,12 @@
     /// Creates the buffers of a gateway.
     pub(crate) fn new(settings: &GatewaySettings) -> Self {
         if !settings.features.slow_readers {
-            return Self::default();
+            let memory_bytes = settings.resources.memory_bytes;
+            let limits = memory_bytes.map(ByteLimits::for_large_bodies);
+            return Self {
+                budget: ByteBudget::new(limits.unwrap_or_default()),
+                ..Self::default()
+            };
         }
         let limits = ByteLimits::for_memory(settings.resources.memory_bytes);
         log::info!(
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Request, header, request::Parts};
 use http_body::Body;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use toucan_types::{OrganisationName, RequestId};
@@ -31,7 +31,7 @@
 /// Timeout of callers that send none.
 const DEFAULT_CALLER_TIMEOUT_MS: u64 = 30_000;
 
-/// Maximum size of what is read of the body of a refused call.
+/// Maximum size of what is read of the body of a call that is refused before.
 const MAX_DISCARDED_BYTES: usize = 512 * 1024;
 /// Longest time for which the body of a refused call is read.
 const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
@@ -58,7 +58,7 @@
     tracker: &mut CallTracker<P>,
 ) -> Result<Call, Refusal> {
     let began_ms = tracker.log.began_ms;
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let mut head = gateway.platform.read_call(&parts.headers);
     head.limit_part_tokens();
     if let Some(id) = &head.id {
@@ -92,21 +92,23 @@
     let counted_bytes = match admit(gateway, &body) {
         Ok(counted_bytes) => counted_bytes,
         Err(NoRoom { return_ms }) => {
-            discard_body(body).await;
+            discard_body(body, MAX_DISCARDED_BYTES).await;
             return Err(Refusal::GatewayBusy { return_ms });
         }
     };
     let buffers = &gateway.buffers;
     let mut claims = claims_of_call(buffers, organisation.as_deref());
     let max_body_bytes = config.caller_limits.max_body_bytes;
-    let body = if buffers.reads_ahead {
-        let left_ms = deadline_ms.saturating_sub(gateway.now_ms());
-        let read = read_slow_body(buffers, body, max_body_bytes, &mut claims);
-        let read = timeout(Duration::from_millis(left_ms), read).await;
-        read.map_err(|_elapsed| Refusal::TooLate)??
-    } else {
-        read_body(body, max_body_bytes).await?
+    let left_ms = deadline_ms.saturating_sub(gateway.now_ms());
+    let read = read_body(buffers, &mut body, max_body_bytes, &mut claims);
+    let read = match timeout(Duration::from_millis(left_ms), read).await {
+        Ok(read) => read,
+        Err(_elapsed) => Err(Refusal::TooLate),
     };
+    if matches!(read, Err(Refusal::BuffersFull { .. })) {
+        discard_body(body, max_body_bytes).await;
+    }
+    let body = read?;
     let uncounted_bytes = (body.len() as u64).saturating_sub(counted_bytes);
     gateway
         .state
@@ -195,12 +197,12 @@
 
 /// Reads the body of a refused call. Closing a connection with unread bytes would reset it, so that the
 /// caller might not get the refusal.
-async fn discard_body(mut body: Incoming) {
+async fn discard_body(mut body: Incoming, max_bytes: usize) {
     let discard = async {
         let mut bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
             bytes += frame.data_ref().map_or(0, Bytes::len);
-            if bytes > MAX_DISCARDED_BYTES {
+            if bytes > max_bytes {
                 break;
             }
         }
@@ -210,14 +212,6 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_broken) => Err(Refusal::BodyUnreadable),
-    }
-}
-
 fn claims_of_call(buffers: &CallBuffers, organisation: Option<&Organisation>) -> CallClaims {
     let name = organisation.map_or_else(OrganisationName::default, |o| o.name.clone());
     let claim = |kind| buffers.budget.claim(kind, name.clone());
@@ -228,42 +222,55 @@
     }
 }
 
-/// Reads the body of a call whose caller may send slowly, as far as there is memory for it.
-async fn read_slow_body(
+/// Reads the body of a call as far as there is memory for it.
+async fn read_body(
     buffers: &CallBuffers,
-    mut body: Incoming,
+    body: &mut Incoming,
     max_bytes: usize,
     claims: &mut CallClaims,
 ) -> Result<Bytes, Refusal> {
     let now_ms = boot_time_ms();
     buffers.budget.accounts().observe(now_ms);
-    claim_memory(buffers, &mut claims.connections, CONNECTION_BYTES).await?;
+    if buffers.reads_ahead {
+        claim_memory(buffers, &mut claims.connections, CONNECTION_BYTES).await?;
+    }
+    let free_bytes = buffers.budget.accounts().limits().free_body_bytes;
+    let counted = |bytes: usize| (bytes as u64).saturating_sub(free_bytes);
     let stated_bytes = body.size_hint().exact();
     if stated_bytes.is_some_and(|bytes| bytes > max_bytes as u64) {
         return Err(Refusal::BodyTooLarge);
     }
     let largest = stated_bytes.map_or(max_bytes, |bytes| bytes as usize);
     let mut collected = Vec::new();
-    while let Some(bytes) = next_bytes(&mut body).await {
+    while let Some(bytes) = next_bytes(body).await {
         let bytes = bytes.map_err(|_broken| Refusal::BodyUnreadable)?;
         let size = collected.len() + bytes.len();
         if size > largest {
             return Err(Refusal::BodyTooLarge);
         }
         if size > collected.capacity() {
-            // What a caller announces is not claimed before it has sent the half of it.
-            let doubled = collected.capacity() * 2;
-            let capacity = size.max(doubled).max(MIN_BODY_CAPACITY_BYTES).min(largest);
-            claim_memory(buffers, &mut claims.body, capacity as u64).await?;
+            let capacity = next_capacity(size, collected.capacity(), largest, free_bytes);
+            claim_memory(buffers, &mut claims.body, counted(capacity)).await?;
             collected.reserve_exact(capacity - collected.len());
         }
         collected.extend_from_slice(&bytes);
     }
     let held = collected.capacity() + collected.len().min(MAX_SENT_BYTES);
-    claim_memory(buffers, &mut claims.body, held as u64).await?;
+    claim_memory(buffers, &mut claims.body, counted(held)).await?;
     Ok(Bytes::from(collected))
 }
 
+/// Returns the capacity for a body of which `size` bytes have arrived and `largest` are announced or allowed.
+fn next_capacity(size: usize, capacity: usize, largest: usize, free_bytes: u64) -> usize {
+    if free_bytes > 0 && size as u64 > free_bytes {
+        // Bodies that grow side by side would take all memory before one of them is complete.
+        return largest;
+    }
+    // What a caller announces is not claimed before it has sent the half of it.
+    let doubled = capacity * 2;
+    size.max(doubled).max(MIN_BODY_CAPACITY_BYTES).min(largest)
+}
+
 /// Lets a claim grow to `bytes`, or refuses the call.
 async fn claim_memory(
     buffers: &CallBuffers,
