Claim the largest size only for large bodies without a length, and release what is not used

Change: a body without a length claims the largest size only above 512 KiB, and a complete body holds its own size. An answer of another gateway is named as what it is, no answer.

--- a/crates/toucan_gateway/src/serving/answer_end.rs
+++ b/crates/toucan_gateway/src/serving/answer_end.rs
@@ -59,7 +59,7 @@
             TunnelAnswer::TargetReachable => return true,
             // The other gateway lives, so it has passed on what the target did.
             TunnelAnswer::NotTried => {}
-            TunnelAnswer::TargetUnreachable | TunnelAnswer::None => return false,
+            TunnelAnswer::TargetUnreachable | TunnelAnswer::NoAnswer => return false,
         }
     }
     for _connection in 0..MAX_CONNECTIONS {
--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -47,6 +47,8 @@
     + 2 * TRANSIT_BYTES) as u64;
 /// Largest copy of a body that the kernel holds while it sends it to a target.
 const MAX_SENT_BYTES: usize = SlowPeerOptions::TARGET.send_bytes;
+/// Size above which a body without a length counts as one that may become as large as is allowed.
+const LARGE_BODY_BYTES: u64 = 512 * 1024;
 /// Size of the first part of a body for which memory is claimed.
 const MIN_BODY_CAPACITY_BYTES: usize = 8 * 1024;
 
@@ -241,6 +243,13 @@
         return Err(Refusal::BodyTooLarge);
     }
     let largest = stated_bytes.map_or(max_bytes, |bytes| bytes as usize);
+    // Bodies that grow side by side would take all memory before one of them is complete, so a large one claims all that
+    // it states or may have. Where callers may send slowly, nothing is claimed before they have sent the half of it.
+    let claimed_whole_above = match (buffers.reads_ahead, stated_bytes) {
+        (true, _) => u64::MAX,
+        (false, Some(_)) => free_bytes,
+        (false, None) => free_bytes.max(LARGE_BODY_BYTES),
+    };
     let mut collected = Vec::new();
     while let Some(bytes) = next_bytes(body).await {
         let bytes = bytes.map_err(|_broken| Refusal::BodyUnreadable)?;
@@ -249,28 +258,27 @@
             return Err(Refusal::BodyTooLarge);
         }
         if size > collected.capacity() {
-            let capacity = next_capacity(size, collected.capacity(), largest, free_bytes);
+            let capacity = if size as u64 > claimed_whole_above {
+                largest
+            } else {
+                let doubled = collected.capacity() * 2;
+                size.max(doubled).max(MIN_BODY_CAPACITY_BYTES).min(largest)
+            };
             claim_memory(buffers, &mut claims.body, counted(capacity)).await?;
             collected.reserve_exact(capacity - collected.len());
         }
         collected.extend_from_slice(&bytes);
     }
-    let held = collected.capacity() + collected.len().min(MAX_SENT_BYTES);
+    let held = if buffers.reads_ahead {
+        collected.capacity() + collected.len().min(MAX_SENT_BYTES)
+    } else {
+        collected.shrink_to_fit();
+        collected.len()
+    };
     claim_memory(buffers, &mut claims.body, counted(held)).await?;
     Ok(Bytes::from(collected))
 }
 
-/// Returns the capacity for a body of which `size` bytes have arrived and `largest` are announced or allowed.
-fn next_capacity(size: usize, capacity: usize, largest: usize, free_bytes: u64) -> usize {
-    if free_bytes > 0 && size as u64 > free_bytes {
-        // Bodies that grow side by side would take all memory before one of them is complete.
-        return largest;
-    }
-    // What a caller announces is not claimed before it has sent the half of it.
-    let doubled = capacity * 2;
-    size.max(doubled).max(MIN_BODY_CAPACITY_BYTES).min(largest)
-}
-
 /// Lets a claim grow to `bytes`, or refuses the call.
 async fn claim_memory(
     buffers: &CallBuffers,
--- a/crates/toucan_gateway/src/serving/tunnel_client.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_client.rs
@@ -69,7 +69,7 @@
     /// It has not tried.
     NotTried,
     /// It did not answer in time, or has ended.
-    None,
+    NoAnswer,
 }
 
 /// Why there is no connection by way of another gateway.
@@ -138,10 +138,10 @@
     /// Asks a process for a tunnel to a target.
     async fn ask(&self, holder: &TunnelHolder, target: &TargetEntry) -> TunnelAnswer {
         let Some((address, message)) = self.tunnel_request(holder, target) else {
-            return TunnelAnswer::None;
+            return TunnelAnswer::NoAnswer;
         };
         let Ok(mut stream) = connect_tcp(address, CONNECT_TIMEOUT, None).await else {
-            return TunnelAnswer::None;
+            return TunnelAnswer::NoAnswer;
         };
         discard_when_closed(&stream);
         match timeout(ANSWER_TIMEOUT, exchange(&mut stream, &message)).await {
@@ -154,7 +154,7 @@
             Ok(Ok(TunnelStatus::TargetUnknown | TunnelStatus::Unavailable)) => {
                 TunnelAnswer::NotTried
             }
-            Ok(Err(_)) | Err(_) => TunnelAnswer::None,
+            Ok(Err(_)) | Err(_) => TunnelAnswer::NoAnswer,
         }
     }
 
