Keep the pause between reads of the registrations also if there are more of them

Since the gateway read on without a pause while the store told of records beyond an answer. A store that tells of those which were appended while it answered would have been read without end.

Change: the pause stays, and only a read that reached the end of the partition counts as one that shows all versions.

--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -52,11 +52,10 @@
                 remove_expired(&gateway, now_ms);
                 gateway.state.borrow_mut().targets_loaded = true;
                 gateway.report_if_all_evacuated();
-                if consumed.batch.next < consumed.batch.end {
-                    // There are more records than one answer holds.
-                    continue;
+                // There may be more records than one answer holds.
+                if consumed.batch.next >= consumed.batch.end {
+                    record_read(&gateway, began_ms);
                 }
-                record_read(&gateway, began_ms);
                 // The loop reads again whether the wait ended by a request or by the timeout.
                 let _elapsed = timeout(POLL_INTERVAL, gateway.registrations.requested()).await;
             }
