Refuse calls for lack of memory at once where callers may send slowly

Since a call without room for its body was refused only after the rest of the body was read, for up to a second. Where callers may send slowly that keeps them waiting for an answer that is known, also beyond the time limit.

Change: there the refusal is sent at once, as before.

--- a/crates/toucan_gateway/src/serving/read_call.rs
+++ b/crates/toucan_gateway/src/serving/read_call.rs
@@ -107,7 +107,8 @@
         Ok(read) => read,
         Err(_elapsed) => Err(Refusal::TooLate),
     };
-    if matches!(read, Err(Refusal::BuffersFull { .. })) {
+    // A caller that sends slowly would be kept waiting for its refusal.
+    if matches!(read, Err(Refusal::BuffersFull { .. })) && !buffers.reads_ahead {
         discard_body(body, max_body_bytes).await;
     }
     let body = read?;
