Write lines of the log in whole where the reader falls behind

Cause: one write held up to 256 lines, and a pipe takes a write of more than 4,096 bytes in parts, of which a reader that falls behind loses some. Change: each write holds whole lines of at most 4,096 bytes.

--- a/crates/toucan_gateway/src/logging.rs
+++ b/crates/toucan_gateway/src/logging.rs
@@ -23,7 +23,10 @@
 const MAX_QUEUED_LINES: usize = 4_096;
 /// Maximum number of queued lines that are written together with the first one.
 const MAX_BATCHED_LINES: usize = 256;
-/// Pause after each write, in which lines accumulate for the next one.
+/// Maximum number of bytes in one write, unless a line is longer. A pipe takes up to so many at once or none, so that a
+/// reader which falls behind gets whole lines.
+const MAX_WRITE_BYTES: usize = 4_096;
+/// Pause after the lines of a batch, in which others accumulate for the next one.
 const BATCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a flush checks whether all lines are written.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -105,20 +108,33 @@
 }
 
 fn write_lines(receiver: &Receiver<Vec<u8>>) {
-    let mut batch = Vec::new();
+    let mut joined = Vec::new();
     while let Ok(first) = receiver.recv() {
-        batch.clear();
-        batch.extend_from_slice(&first);
+        joined.clear();
+        joined.extend_from_slice(&first);
         let mut lines = 1;
         for line in receiver.try_iter().take(MAX_BATCHED_LINES) {
-            batch.extend_from_slice(&line);
+            if joined.len() + line.len() > MAX_WRITE_BYTES {
+                write_joined(&joined);
+                joined.clear();
+            }
+            joined.extend_from_slice(&line);
             lines += 1;
         }
-        if io::stdout().write_all(&batch).is_err() {
-            // Standard output has no reader. Count this and continue to serve calls.
-            metrics::counter!("toucan_unwritten_log_batches_total").increment(1);
-        }
+        write_joined(&joined);
         WRITTEN_LINES.fetch_add(lines, Ordering::Release);
         thread::sleep(BATCH_INTERVAL);
     }
 }
+
+fn write_joined(lines: &[u8]) {
+    let mut output = io::stdout().lock();
+    if output
+        .write_all(lines)
+        .and_then(|()| output.flush())
+        .is_err()
+    {
+        // Standard output has no reader. Count this and continue to serve calls.
+        metrics::counter!("toucan_unwritten_log_batches_total").increment(1);
+    }
+}
