Observe how old the knowledge is by which calls choose targets, and how late tasks run

Lines of calls now have chosen_ms and targets_read_ms_ago; a warning and toucan_task_delay_seconds tell of tasks that run late.

--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -35,6 +35,7 @@
         origin_sync::{read_origins, write_origins},
         path_probes::probe_paths,
         peer_exchange::{broadcast_load, receive_datagrams},
+        schedule_watch::watch_schedule,
         shutdown,
         target_watch::watch_targets,
         verdict_sync::{watch_verdicts, write_verdicts},
@@ -136,6 +137,7 @@
             serve_tunnels(gateway, Rc::clone(&tunnels))
         });
         self.spawn_duty("paths", probe_paths);
+        self.spawn_duty("schedule", watch_schedule);
 
         let subscribe = || self.listener_state.subscribe();
         let gateway = Rc::clone(self);
--- a/crates/toucan_gateway/src/serving/call_log.rs
+++ b/crates/toucan_gateway/src/serving/call_log.rs
@@ -27,6 +27,10 @@
     pub(crate) resumes: String,
     /// Id of the last event that the caller received before it resumed; empty if there is none.
     pub(crate) resumes_after: String,
+    /// Time from the receipt of the call to the last choice of its target.
+    pub(crate) chosen_ms: u64,
+    /// Time since the targets' registrations had been read when its target was last chosen.
+    pub(crate) targets_read_ms_ago: u64,
     /// Longest time for which a request waited for a connection to its target.
     pub(crate) held_ms: u64,
     /// Tokens reserved for the call.
@@ -64,6 +68,8 @@
             software_versions = self.software_versions.join(",").as_str(),
             resumes = self.resumes.as_str(),
             resumes_after = self.resumes_after.as_str(),
+            chosen_ms = self.chosen_ms,
+            targets_read_ms_ago = self.targets_read_ms_ago,
             held_ms = self.held_ms,
             reserved_tokens = self.reserved_tokens,
             spent_tokens = spent_tokens,
@@ -74,6 +80,13 @@
         );
     }
 
+    /// Records that a target was chosen by registrations that were read `read_ms_ago`.
+    pub(crate) fn record_choice(&mut self, read_ms_ago: u64, now_ms: u64) {
+        self.chosen_ms = now_ms.saturating_sub(self.began_ms);
+        self.targets_read_ms_ago = read_ms_ago;
+        metrics::histogram!("toucan_target_read_age_seconds").record(read_ms_ago as f64 / 1_000.0);
+    }
+
     /// Records how long a request waited for a connection to its target.
     pub(crate) fn record_held(&mut self, held_ms: u64) {
         self.held_ms = self.held_ms.max(held_ms);
@@ -103,6 +116,8 @@
             software_versions = self.software_versions.join(",").as_str(),
             resumes = self.resumes.as_str(),
             resumes_after = self.resumes_after.as_str(),
+            chosen_ms = self.chosen_ms,
+            targets_read_ms_ago = self.targets_read_ms_ago,
             held_ms = self.held_ms,
             reserved_tokens = self.reserved_tokens,
             spent_tokens = spent_tokens,
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -96,6 +96,8 @@
             return Err((refusal_without_target(gateway, call), "no target is left"));
         };
         tracker.log.expected_ms = chosen.expected_ms;
+        let read_ms_ago = gateway.state.borrow().targets_read_ms_ago(now_ms);
+        tracker.log.record_choice(read_ms_ago, now_ms);
         let is_first = call.progress == CallProgress::default() && call.denied.is_empty();
         if is_first && exceeds_fair_share(gateway, call, &chosen, now_ms) {
             let return_ms = schedule_return(gateway, call, &chosen, chosen.expected_ms, now_ms);
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -65,6 +65,8 @@
     pub(crate) verdict_outbox: VerdictOutbox,
     /// Whether the targets have been read at least once.
     pub(crate) targets_loaded: bool,
+    /// When the last read of the targets began that returned all.
+    pub(crate) targets_read_at_ms: u64,
     /// Whether the other gateways have been read at least once.
     pub(crate) members_loaded: bool,
     /// Whether the last synchronisation of the wallets with the store failed.
@@ -133,6 +135,11 @@
 }
 
 impl GatewayState {
+    /// Returns the time since the registrations of targets were read.
+    pub(crate) const fn targets_read_ms_ago(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.targets_read_at_ms)
+    }
+
     /// Records that neither the store nor a peer had this many tokens.
     pub(crate) fn record_shortage(
         &mut self,
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -10,6 +10,7 @@
 mod partition_consumer;
 pub(crate) mod path_probes;
 pub(crate) mod peer_exchange;
+pub(crate) mod schedule_watch;
 pub(crate) mod shutdown;
 mod store_health;
 pub(crate) mod target_check;
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -67,6 +67,7 @@
 /// Records that all registrations up to a read that began at `began_ms` are known.
 fn record_read<P: Platform>(gateway: &Rc<Gateway<P>>, began_ms: u64) {
     let state = &mut *gateway.state.borrow_mut();
+    state.targets_read_at_ms = began_ms;
     let entries = state.targets.iter().map(|target| &*target.entry);
     state.target_versions.record_read(entries, began_ms);
     gateway.registrations.complete(began_ms);
