Ask other gateways which targets have left whenever the store was not read lately

Cause: a gateway that reads the store late learns of departures only by datagrams that four others repeat for 2.5 s. Whoever is deaf for longer, or finds the end of a registration in what it takes for an outage of the store, goes on by what it read last, while all others know, and nobody notices: the message goes only one way.

Change: each gateway keeps the departures that it knows by their place in the log, with the part of the log for which they are complete. One that has not read the store for a second asks three others each 250 ms for those after its place, at once if it hears a first datagram after a silence, until it knows what a fresh read would tell. Every gateway answers, not only four, also with what it was told itself; the end of a registration that may be due to an outage is told only once it is certain. Where all that was known is older than half of the bound, calls wait for an answer for 400 ms at most.

Why it works: the lagging gateway itself knows that it lags, and repeats until it is answered.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -25,7 +25,7 @@
     overload::CallAdmission,
     paths::TunnelPeers,
     peers::{Datagram, GatewayLocation, Lending, MemberEntry, PeerMessage, Transfers},
-    placement::Departure,
+    placement::DepartureCatchUp,
     poison::PoisonTable,
     serving::{ConnectionPool, connection_count::ConnectionCount, http_listener::ListenerState},
     settings::{Bounds, GatewaySettings, VmResources},
@@ -66,6 +66,8 @@
     pub(crate) poison_changed: Notify,
     /// Notifies calls that wait for permits.
     pub(crate) permits_changed: Notify,
+    /// Notifies calls that wait until it is known which targets have left.
+    pub(crate) departures_learnt: Notify,
     /// Notified when the task that draws and reports tokens has failed.
     pub(crate) grants_failed: Notify,
     /// Wakes the task that writes verdicts on parts.
@@ -110,6 +112,7 @@
         let state = GatewayState {
             poison: PoisonTable::new(start_id),
             admission: CallAdmission::new(admission_resources),
+            departure_catch_up: DepartureCatchUp::new(boot_time_ms()),
             ..GatewayState::default()
         };
         Self {
@@ -127,6 +130,7 @@
             tokens_changed: Notify::new(),
             poison_changed: Notify::new(),
             permits_changed: Notify::new(),
+            departures_learnt: Notify::new(),
             verdicts_changed: Notify::new(),
             grants_failed: Notify::new(),
             calls_end: watch::channel(false).0,
@@ -340,33 +344,6 @@
         });
     }
 
-    /// Tells the other gateways that a target leaves, as this one has just read it from the store. They may not
-    /// be able to read it.
-    pub(crate) fn tell_departure(&self, departure: Departure) {
-        let now_ms = self.now_ms();
-        let is_teller = {
-            let members = &self.state.borrow().members;
-            members.is_teller(&departure.target, &self.location, now_ms)
-        };
-        if !is_teller {
-            return;
-        }
-        let message = PeerMessage::Departures(vec![departure.clone()]);
-        self.state.borrow_mut().departures.record(departure, now_ms);
-        self.tell_all(message);
-    }
-
-    /// Applies what another gateway has read of targets that leave.
-    pub(crate) fn accept_departures(&self, departures: &[Departure], sender: &VmName) {
-        let targets = &mut self.state.borrow_mut().targets;
-        for departure in departures {
-            if targets.record_departure(departure) {
-                metrics::counter!("toucan_told_departures_total").increment(1);
-                log::info!(target: "target", name = departure.target.as_str(), vm = sender.as_str(), offset = departure.place.offset.0; "another gateway has read that the target leaves");
-            }
-        }
-    }
-
     /// Records that a target wants no calls from this VM for some time.
     pub(crate) fn record_throttling_target(
         &self,
--- a/crates/toucan_gateway/src/launch.rs
+++ b/crates/toucan_gateway/src/launch.rs
@@ -30,6 +30,7 @@
     socket_options::SlowPeerOptions,
     tasks::{
         config_watch::watch_config,
+        departure_queries::ask_departures,
         grant_sync::sync_grants,
         membership::watch_members,
         origin_sync::{read_origins, write_origins},
@@ -132,6 +133,7 @@
             receive_datagrams(gateway, Rc::clone(&peers))
         });
         self.spawn_duty("load", broadcast_load);
+        self.spawn_duty("departures", ask_departures);
         let tunnels = Rc::new(bind("tunnels", self.settings.peer_address.into())?);
         self.spawn_duty("tunnels", move |gateway| {
             serve_tunnels(gateway, Rc::clone(&tunnels))
--- a/crates/toucan_gateway/src/peers/datagram.rs
+++ b/crates/toucan_gateway/src/peers/datagram.rs
@@ -7,7 +7,7 @@
     binary_format,
     budget::PeerRecovery,
     paths::TunnelRequest,
-    placement::Departure,
+    placement::{Departure, DepartureAnswer, DepartureQuery},
     poison::{Fingerprint, PoisonVerdict},
     streams::StreamOrigin,
 };
@@ -136,6 +136,10 @@
     CutOff(bool),
     /// Asks for a tunnel to a target. The first message on a connection, not sent as a datagram.
     OpenTunnel(TunnelRequest),
+    /// Asks for the departures after a place in the log.
+    AskDepartures(DepartureQuery),
+    /// Answers a question for departures.
+    DepartureAnswer(DepartureAnswer),
 }
 
 /// A message and its sender.
--- a/crates/toucan_gateway/src/placement/mod.rs
+++ b/crates/toucan_gateway/src/placement/mod.rs
@@ -2,21 +2,27 @@
 
 mod choice;
 mod departure;
+mod departure_catch_up;
+mod departure_history;
 mod deregistration_grace;
 mod failure_history;
 mod prompt_cache_estimate;
 mod reachability;
+mod recent_departures;
 mod room;
 mod target_scope;
 mod target_state;
 mod target_table;
 
 pub use choice::{Choice, ChoiceRequest, ChoiceSettings, choose_target};
-pub use departure::{Departure, RecentDepartures, RecordPlace};
+pub use departure::{Departure, RecordPlace};
+pub use departure_catch_up::DepartureCatchUp;
+pub use departure_history::{DepartureAnswer, DepartureHistory, DepartureQuery};
 pub use deregistration_grace::DeregistrationGrace;
 pub use failure_history::{CallOutcome, FailureHistory};
 pub use prompt_cache_estimate::PromptCacheEstimate;
 pub use reachability::Reachability;
+pub use recent_departures::RecentDepartures;
 pub use room::Room;
 pub use target_scope::{Exclusion, TargetScope};
 pub use target_state::{TargetLoad, TargetState};
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -150,8 +150,8 @@
     /// Records that another gateway has read that a target leaves. It gets no calls until a later record than that
     /// one registers it.
     ///
-    /// Returns whether this was not known.
-    pub fn record_departure(&mut self, departure: &Departure) -> bool {
+    /// Returns whether the target was in service until `now_ms`.
+    pub fn record_departure(&mut self, departure: &Departure, now_ms: u64) -> bool {
         let Some(target) = self.by_name.get_mut(&departure.target) else {
             return false;
         };
@@ -160,9 +160,9 @@
         {
             return false;
         }
-        let is_new = target.is_registered() && target.departed_at.is_none();
+        let was_in_service = target.is_in_service(now_ms);
         target.departed_at = target.departed_at.max(Some(departure.place));
-        is_new
+        was_in_service
     }
 
     /// Notes where a registration was read. It ends what an earlier record says of the target's leaving.
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -120,7 +120,7 @@
     pool: &Rc<ConnectionPool>,
     exchange: Exchange<'_>,
     tunnels: &impl TunnelConnector,
-    may_still_send: impl Fn() -> bool,
+    may_still_send: impl AsyncFn() -> bool,
 ) -> Result<OpenResponse, SendFailure> {
     let began_at = Instant::now();
     let checkout = pool.checkout(
@@ -146,7 +146,7 @@
         );
         SendFailure::NotSent(error.call_outcome())
     })?;
-    if !may_still_send() {
+    if !may_still_send().await {
         metrics::counter!("toucan_withdrawn_sends_total").increment(1);
         return Err(SendFailure::Withdrawn);
     }
--- a/crates/toucan_gateway/src/state.rs
+++ b/crates/toucan_gateway/src/state.rs
@@ -11,7 +11,7 @@
     limits::{CallRate, PermitGrant, PermitGranter},
     overload::{CallAdmission, CallDurations, FairShares, Relief, ReturnSchedule},
     peers::{GatewayLocation, Members},
-    placement::{RecentDepartures, TargetTable},
+    placement::{DepartureCatchUp, DepartureHistory, RecentDepartures, TargetTable},
     poison::{BrokenCalls, PoisonTable, VerdictOutbox},
     retries::{initial_retry_budget, retry_share},
     settings::Bounds,
@@ -47,8 +47,12 @@
     pub(crate) all_evacuated: bool,
     /// Registered targets; empty until they have been read.
     pub(crate) targets: TargetTable,
-    /// Targets that this gateway has read to be leaving, which it tells the others.
-    pub(crate) departures: RecentDepartures,
+    /// Departures of targets that this gateway knows of.
+    pub(crate) departures: DepartureHistory,
+    /// How old that knowledge is.
+    pub(crate) departure_catch_up: DepartureCatchUp,
+    /// Departures that this gateway has read lately, which it tells the others.
+    pub(crate) told_departures: RecentDepartures,
     /// Software versions that the targets have recently run.
     pub(crate) target_versions: VersionHistory,
     /// Where recent streams began.
--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks of a gateway.
 
 pub(crate) mod config_watch;
+pub(crate) mod departure_queries;
 pub(crate) mod evacuation_records;
 pub(crate) mod fresh_read;
 pub(crate) mod grant_sync;
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -96,7 +96,7 @@
         });
         gateway.send_to_peers(vms.iter(), message);
         tell_config(&gateway, now_ms);
-        let departures = gateway.state.borrow_mut().departures.to_tell(now_ms);
+        let departures = gateway.state.borrow_mut().told_departures.to_tell(now_ms);
         if !departures.is_empty() {
             gateway.send_to_peers(vms.iter(), PeerMessage::Departures(departures));
         }
@@ -193,6 +193,13 @@
     if let Some(member) = gateway.state.borrow_mut().members.get_mut(&datagram.vm) {
         member.last_seen_ms = now_ms;
     }
+    let asks_departures = {
+        let catch_up = &mut gateway.state.borrow_mut().departure_catch_up;
+        catch_up.record_datagram(now_ms)
+    };
+    if asks_departures {
+        gateway.ask_departures();
+    }
     match datagram.message {
         PeerMessage::TargetEnded(ended) => gateway.accept_target_end(ended, &datagram.vm),
         PeerMessage::Sound(fingerprints) => gateway.accept_sound(&fingerprints),
@@ -310,6 +317,12 @@
         PeerMessage::Departures(departures) => {
             gateway.accept_departures(&departures, &datagram.vm);
         }
+        PeerMessage::AskDepartures(query) => {
+            gateway.answer_departure_query(query, &datagram.vm);
+        }
+        PeerMessage::DepartureAnswer(answer) => {
+            gateway.accept_departure_answer(&answer, &datagram.vm);
+        }
         PeerMessage::TargetReplaced {
             target,
             started_at_unix_ms,
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::{sleep, timeout};
-use toucan_types::{FastHashSet, TargetName};
+use toucan_types::{FastHashSet, Offset, TargetName};
 
 use crate::{
     Gateway, Platform,
@@ -13,7 +13,7 @@
 };
 
 use super::{
-    partition_consumer::{BatchKind, PartitionConsumer},
+    partition_consumer::{BatchKind, ConsumedBatch, PartitionConsumer},
     store_health::StoreHealth,
 };
 
@@ -41,7 +41,7 @@
                 grace.record_read(health.record_success(now_ms), now_ms);
                 let usable_until_ms = grace.usable_until_ms(gateway.bounds().drain_ms, now_ms);
                 if consumed.kind != BatchKind::Appended {
-                    deregister_missing(&gateway, &consumed.batch.records, usable_until_ms);
+                    deregister_missing(&gateway, &consumed, usable_until_ms);
                 }
                 // A restored store may list targets that have left. Those that live write again.
                 if consumed.kind != BatchKind::RestoredSnapshot {
@@ -54,7 +54,7 @@
                 gateway.report_if_all_evacuated();
                 // There may be more records than one answer holds.
                 if consumed.batch.next >= consumed.batch.end {
-                    record_read(&gateway, began_ms);
+                    record_read(&gateway, consumed.batch.next, began_ms);
                 }
                 // The loop reads again whether the wait ended by a request or by the timeout.
                 let _elapsed = timeout(POLL_INTERVAL, gateway.registrations.requested()).await;
@@ -64,31 +64,39 @@
     }
 }
 
-/// Records that all registrations up to a read that began at `began_ms` are known.
-fn record_read<P: Platform>(gateway: &Rc<Gateway<P>>, began_ms: u64) {
-    let state = &mut *gateway.state.borrow_mut();
-    state.targets_read_at_ms = began_ms;
-    let entries = state.targets.iter().map(|target| &*target.entry);
-    state.target_versions.record_read(entries, began_ms);
+/// Records that all registrations before `next` are known, by a read that began at `began_ms`.
+fn record_read<P: Platform>(gateway: &Rc<Gateway<P>>, next: Offset, began_ms: u64) {
+    let place = place_of(gateway, Offset(next.0.saturating_sub(1)));
+    {
+        let state = &mut *gateway.state.borrow_mut();
+        state.targets_read_at_ms = began_ms;
+        let entries = state.targets.iter().map(|target| &*target.entry);
+        state.target_versions.record_read(entries, began_ms);
+        if state.departures.record_read(place) {
+            state.departure_catch_up.record_read(began_ms);
+        }
+    }
+    gateway.departures_learnt.notify_waiters();
     gateway.registrations.complete(began_ms);
 }
 
+fn place_of<P: Platform>(gateway: &Gateway<P>, offset: Offset) -> RecordPlace {
+    RecordPlace {
+        restore: gateway.platform.last_restore(),
+        offset,
+    }
+}
+
 fn apply_record<P: Platform>(
     gateway: &Rc<Gateway<P>>,
     read: &ReadRecord,
     usable_until_ms: u64,
     kind: BatchKind,
 ) {
-    let place = RecordPlace {
-        restore: gateway.platform.last_restore(),
-        offset: read.offset,
-    };
+    let place = place_of(gateway, read.offset);
     let Some(bytes) = &read.record.value else {
         let name = TargetName::from(read.record.key.as_str());
-        if kind == BatchKind::Appended && usable_until_ms <= gateway.now_ms() {
-            tell_departure(gateway, &name, place);
-        }
-        deregister(gateway, &name, usable_until_ms);
+        deregister(gateway, &name, place, usable_until_ms);
         return;
     };
     let entry = match gateway.platform.read_target(&read.record.key, bytes) {
@@ -112,44 +120,49 @@
     let (name, service) = (entry.name.clone(), entry.service.clone());
     let now_ms = gateway.now_ms();
     let change = {
-        let targets = &mut gateway.state.borrow_mut().targets;
-        let change = targets.register(entry, now_ms);
-        targets.record_place(&name, place);
+        let state = &mut *gateway.state.borrow_mut();
+        if !entry.draining {
+            let started_at_unix_ms = entry.started_at_unix_ms;
+            let departures = &mut state.departures;
+            departures.record_registration(&name, started_at_unix_ms, place);
+        }
+        let change = state.targets.register(entry, now_ms);
+        state.targets.record_place(&name, place);
         change
     };
-    if change == TargetChange::Draining && kind == BatchKind::Appended {
-        tell_departure(gateway, &name, place);
+    if change == TargetChange::Draining
+        && let Some(departure) = departure_of(gateway, &name, place)
+    {
+        gateway.record_read_departure(departure);
     }
     if change != TargetChange::Other {
         log::info!(target: "target", name = name.as_str(), service = service.as_str(), offset = read.offset.0, change:? = change; "target changed");
     }
 }
 
-/// Tells the other gateways that a target leaves by the record at `place`.
-fn tell_departure<P: Platform>(gateway: &Rc<Gateway<P>>, name: &TargetName, place: RecordPlace) {
-    let started_at_unix_ms = {
-        let state = gateway.state.borrow();
-        let target = state.targets.get(name);
-        target.map(|target| target.entry.started_at_unix_ms)
-    };
-    let Some(started_at_unix_ms) = started_at_unix_ms else {
-        return;
-    };
-    gateway.tell_departure(Departure {
+/// Returns the departure of a known target by the record at `place`.
+fn departure_of<P: Platform>(
+    gateway: &Gateway<P>,
+    name: &TargetName,
+    place: RecordPlace,
+) -> Option<Departure> {
+    let state = gateway.state.borrow();
+    let target = state.targets.get(name)?;
+    Some(Departure {
         target: name.clone(),
-        started_at_unix_ms,
+        started_at_unix_ms: target.entry.started_at_unix_ms,
         place,
-    });
+    })
 }
 
 /// Deregisters the targets that are missing from a snapshot.
 fn deregister_missing<P: Platform>(
     gateway: &Rc<Gateway<P>>,
-    records: &[ReadRecord],
+    snapshot: &ConsumedBatch,
     usable_until_ms: u64,
 ) {
+    let records = snapshot.batch.records.iter();
     let listed: FastHashSet<&str> = records
-        .iter()
         .filter(|read| read.record.value.is_some())
         .map(|read| read.record.key.as_str())
         .collect();
@@ -162,21 +175,62 @@
         .filter(|name| !listed.contains(name.as_str()))
         .cloned()
         .collect();
+    // A target that had registered again later would be listed.
+    let place = place_of(gateway, Offset(snapshot.batch.next.0.saturating_sub(1)));
     for name in missing {
-        deregister(gateway, &name, usable_until_ms);
+        if snapshot.kind == BatchKind::RestoredSnapshot {
+            // It may live, and its registration be lost with what else the store lost. It writes again.
+            end_registration(gateway, &name, usable_until_ms);
+        } else {
+            deregister(gateway, &name, place, usable_until_ms);
+        }
+    }
+}
+
+/// Ends the registration of a target by the record at `place`. It has left, unless an outage may be the reason.
+fn deregister<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    name: &TargetName,
+    place: RecordPlace,
+    usable_until_ms: u64,
+) {
+    let departure = departure_of(gateway, name, place);
+    if !end_registration(gateway, name, usable_until_ms) {
+        return;
+    }
+    let Some(departure) = departure else {
+        return;
+    };
+    if usable_until_ms <= gateway.now_ms() {
+        gateway.record_read_departure(departure);
+    } else {
+        let departures = &mut gateway.state.borrow_mut().departures;
+        departures.record_uncertain(departure);
     }
 }
 
-fn deregister<P: Platform>(gateway: &Rc<Gateway<P>>, name: &TargetName, usable_until_ms: u64) {
+/// Returns whether the target was registered.
+fn end_registration<P: Platform>(
+    gateway: &Rc<Gateway<P>>,
+    name: &TargetName,
+    usable_until_ms: u64,
+) -> bool {
     let mut state = gateway.state.borrow_mut();
-    if state.targets.deregister(name, usable_until_ms) {
+    let is_new = state.targets.deregister(name, usable_until_ms);
+    if is_new {
         let still_used_ms = usable_until_ms.saturating_sub(gateway.now_ms());
         log::info!(target: "target", name = name.as_str(), still_used_ms = still_used_ms; "the registration ended");
     }
+    is_new
 }
 
 fn remove_expired<P: Platform>(gateway: &Rc<Gateway<P>>, now_ms: u64) {
-    for name in gateway.state.borrow_mut().targets.remove_expired(now_ms) {
+    let expired = gateway.state.borrow_mut().targets.remove_expired(now_ms);
+    for name in expired {
         log::info!(target: "target", name = name.as_str(); "target removed");
+        let departure = gateway.state.borrow_mut().departures.take_uncertain(&name);
+        if let Some(departure) = departure {
+            gateway.record_read_departure(departure);
+        }
     }
 }
