Look at what was told before each send, and withhold requests whose target has left when they are written

Cause: all tasks of a gateway wait in one queue. The task that takes up datagrams, and the one that writes a chosen call to its connection, each wait behind those of a thousand calls, so a call is chosen by old knowledge and written seconds later.

Change: a call that is about to be sent takes up the datagrams that have arrived itself. The body of a request, and with it the head, is withheld if its target has left, or the call's time is over, when the connection's task comes to write it; the target gets nothing, and the call is sent elsewhere as one that has not run.

Why it works: what decides is known when the bytes are handed to the kernel, and not when the target was chosen.

--- a/crates/toucan_gateway/src/gateway.rs
+++ b/crates/toucan_gateway/src/gateway.rs
@@ -384,13 +384,18 @@
         }
     }
 
+    /// Returns the socket for datagrams; [`None`] before the gateway listens.
+    pub(crate) fn peers_socket(&self) -> Option<Rc<UdpSocket>> {
+        self.peers_socket.borrow().clone()
+    }
+
     /// Sends a message to other gateways without guaranteed delivery.
     pub(crate) fn send_to_peers<'a>(
         &self,
         vms: impl Iterator<Item = &'a VmName>,
         message: PeerMessage,
     ) {
-        let Some(socket) = self.peers_socket.borrow().clone() else {
+        let Some(socket) = self.peers_socket() else {
             return;
         };
         let Some(bytes) = self.encode_datagram(message) else {
--- a/crates/toucan_gateway/src/http_connection.rs
+++ b/crates/toucan_gateway/src/http_connection.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
+use http_body::Body;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -121,19 +122,20 @@
 /// # Errors
 ///
 /// [`ConnectError`] if the connection closes at once.
-pub(crate) async fn start_http(
+pub(crate) async fn start_http<B>(
     stream: TcpStream,
     options: Option<SlowPeerOptions>,
-) -> Result<SendRequest<Full<Bytes>>, ConnectError> {
+) -> Result<SendRequest<B>, ConnectError>
+where
+    B: Body<Data = Bytes, Error: std::error::Error + Send + Sync> + 'static,
+{
     let mut builder = http1::Builder::new();
     if options.is_some() {
         builder.read_buf_exact_size(Some(MAX_SLOW_HEAD_BYTES));
     } else {
         builder.max_buf_size(MAX_HEAD_BYTES);
     }
-    let (sender, connection) = builder
-        .handshake::<_, Full<Bytes>>(TokioIo::new(stream))
-        .await?;
+    let (sender, connection) = builder.handshake::<_, B>(TokioIo::new(stream)).await?;
     tokio::task::spawn_local(async move {
         if let Err(error) = connection.await {
             log::debug!(target: "pool", error:% = error; "a connection ended");
--- a/crates/toucan_gateway/src/placement/target_state.rs
+++ b/crates/toucan_gateway/src/placement/target_state.rs
@@ -10,7 +10,7 @@
     overload::UrgencyTokens,
 };
 
-use super::{FailureHistory, PromptCacheEstimate, RecordPlace, Room};
+use super::{FailureHistory, PromptCacheEstimate, RecordPlace, Room, TargetPresence};
 
 /// The state of a target as seen by this VM.
 #[derive(Clone, Debug)]
@@ -44,6 +44,8 @@
     pub permits: Permits,
     /// End of the grace period after deregistration; [`None`] while the target is registered.
     pub usable_until_ms: Option<u64>,
+    /// Tells those to whom the target was given that it has left.
+    pub presence: TargetPresence,
     /// Loads that other VMs reported, by the random identifier of the process's start.
     peer_loads: FastHashMap<u64, PeerLoad>,
 }
@@ -102,6 +104,7 @@
             cold_until_ms: 0,
             permits: Permits::default(),
             usable_until_ms: None,
+            presence: TargetPresence::default(),
             peer_loads: FastHashMap::default(),
         }
     }
@@ -132,6 +135,12 @@
         !self.entry.draining && !self.is_leaving && !is_gone
     }
 
+    /// Tells those to whom the target was given whether it has left.
+    pub(super) fn update_presence(&mut self, now_ms: u64) {
+        let is_in_service = self.is_in_service(now_ms);
+        self.presence.update(is_in_service);
+    }
+
     /// Returns whether new calls may be sent to the target now.
     #[must_use]
     pub fn accepts_calls(&self, now_ms: u64) -> bool {
--- a/crates/toucan_gateway/src/placement/target_table.rs
+++ b/crates/toucan_gateway/src/placement/target_table.rs
@@ -10,7 +10,8 @@
 };
 
 use super::{
-    CallOutcome, Departure, Exclusion, Reachability, RecordPlace, TargetScope, TargetState,
+    CallOutcome, Departure, Exclusion, Reachability, RecordPlace, TargetPresence, TargetScope,
+    TargetState,
 };
 
 /// Longest time for which a target can throttle a VM. A wrong value must not take a target out for good.
@@ -69,6 +70,7 @@
                 0 => 0,
                 cold_ms => now_ms.saturating_add(cold_ms),
             };
+            target.update_presence(now_ms);
         }
         change
     }
@@ -90,6 +92,7 @@
         let starts_draining = entry.draining && !known.entry.draining;
         if is_restart {
             let in_flight = known.own.in_flight;
+            known.presence.update(false);
             *known = TargetState::new(Rc::new(entry));
             known.own.in_flight = in_flight;
             return TargetChange::Started;
@@ -144,6 +147,7 @@
         if target.entry.started_at_unix_ms != started_at_unix_ms {
             return false;
         }
+        target.presence.update(false);
         !std::mem::replace(&mut target.is_leaving, true)
     }
 
@@ -162,16 +166,18 @@
         }
         let was_in_service = target.is_in_service(now_ms);
         target.departed_at = target.departed_at.max(Some(departure.place));
+        target.update_presence(now_ms);
         was_in_service
     }
 
     /// Notes where a registration was read. It ends what an earlier record says of the target's leaving.
-    pub fn record_place(&mut self, name: &TargetName, place: RecordPlace) {
+    pub fn record_place(&mut self, name: &TargetName, place: RecordPlace, now_ms: u64) {
         let Some(target) = self.by_name.get_mut(name) else {
             return;
         };
         target.registered_at = target.registered_at.max(Some(place));
         target.departed_at = target.departed_at.filter(|departed| *departed > place);
+        target.update_presence(now_ms);
     }
 
     /// Records that another process answers at the address of a target in the start that began at
@@ -185,6 +191,7 @@
         if target.entry.started_at_unix_ms != started_at_unix_ms {
             return false;
         }
+        target.presence.update(false);
         !std::mem::replace(&mut target.is_replaced, true)
     }
 
@@ -272,6 +279,15 @@
         })
     }
 
+    /// Returns whether a target leaves from now on, or has left in the start that was chosen.
+    #[must_use]
+    pub fn presence(&self, chosen: &TargetEntry) -> TargetPresence {
+        let target = self.get(&chosen.name);
+        let same_start =
+            target.filter(|target| target.entry.started_at_unix_ms == chosen.started_at_unix_ms);
+        same_start.map_or_else(TargetPresence::gone, |target| target.presence.clone())
+    }
+
     /// Returns the pause until the first of a service's targets that run `software_version`, or any
     /// version if it is [`None`], takes calls again; [`None`] if one takes them now or none is in service.
     /// Targets outside `scope` do not count.
@@ -336,7 +352,9 @@
             .map(|target| target.entry.name.clone())
             .collect();
         for name in &expired {
-            self.by_name.remove(name);
+            if let Some(mut target) = self.by_name.remove(name) {
+                target.presence.update(false);
+            }
         }
         expired
     }
--- a/crates/toucan_gateway/src/serving/call.rs
+++ b/crates/toucan_gateway/src/serving/call.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Uri, header, uri::PathAndQuery};
-use http_body_util::Full;
 use toucan_types::{OrganisationName, RequestId, ServiceName, TargetName, Tokens};
 
 use crate::{
@@ -172,7 +171,7 @@
         target: &TargetEntry,
         last_event_id: Option<&str>,
         now_ms: u64,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<Bytes> {
         let mut headers = self.headers.clone();
         let is_engine = self.service_settings().is_some_and(|s| s.engine.is_some());
         let dispatch = Dispatch {
@@ -183,7 +182,7 @@
             priority: is_engine.then(|| self.priority()),
         };
         platform.write_dispatch(&mut headers, &dispatch);
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = headers;
--- a/crates/toucan_gateway/src/serving/connection_pool.rs
+++ b/crates/toucan_gateway/src/serving/connection_pool.rs
@@ -2,9 +2,7 @@
 
 use std::{cell::RefCell, net::SocketAddrV4, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use displaydoc::Display;
-use http_body_util::Full;
 use hyper::client::conn::http1::SendRequest;
 use tokio::{net::TcpStream, time::timeout};
 use toucan_types::{FastHashMap, TargetName};
@@ -19,7 +17,10 @@
     socket_options::{SlowPeerOptions, discard_when_closed, set_target_timeout},
 };
 
-use super::tunnel_client::{Tunnel, TunnelConnector, TunnelFailure, TunnelHolder};
+use super::{
+    request_body::RequestBody,
+    tunnel_client::{Tunnel, TunnelConnector, TunnelFailure, TunnelHolder},
+};
 
 /// Maximum wait until an idle connection is ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -142,7 +143,7 @@
 #[derive(Debug)]
 pub(crate) struct TargetConnection {
     /// Sends requests on the connection.
-    pub(crate) sender: SendRequest<Full<Bytes>>,
+    pub(crate) sender: SendRequest<RequestBody>,
     /// Whether the connection has served a call before.
     pub(crate) is_reused: bool,
     /// The way that it goes.
--- a/crates/toucan_gateway/src/serving/exchange.rs
+++ b/crates/toucan_gateway/src/serving/exchange.rs
@@ -11,7 +11,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::{sync::Notify, time::timeout};
 use toucan_types::{RequestId, TargetName};
@@ -19,14 +18,17 @@
 use crate::{
     config::TargetEntry,
     limits::StatedLimit,
-    placement::CallOutcome,
+    placement::{CallOutcome, TargetPresence},
     retries::SendFailure,
     wire_format::{ResponseHead, WireFormat},
 };
 
 use super::{
-    ConnectionPath, ConnectionPool, TargetConnection, answer_end::has_outlived_answer,
-    body_framing::BodyFraming, tunnel_client::TunnelConnector,
+    ConnectionPath, ConnectionPool, TargetConnection,
+    answer_end::has_outlived_answer,
+    body_framing::BodyFraming,
+    request_body::{RequestBody, SendCondition},
+    tunnel_client::TunnelConnector,
 };
 
 /// Maximum number of heads that announce another one, such as early hints, before the head of a response.
@@ -39,7 +41,9 @@
     /// Id of the call. A response with another id is rejected.
     pub(crate) id: &'a RequestId,
     /// Request with the headers for the target.
-    pub(crate) request: Request<Full<Bytes>>,
+    pub(crate) request: Request<Bytes>,
+    /// Whether the target leaves meanwhile.
+    pub(crate) presence: TargetPresence,
     /// Maximum number of open connections from this VM to the target.
     pub(crate) max_connections: u32,
     /// Maximum wait for the response headers.
@@ -153,7 +157,10 @@
     let sent_at = Instant::now();
     let left = Duration::from_millis(exchange.left_ms).saturating_sub(connect_time);
     let head_timeout = exchange.head_timeout.min(left);
-    let mut request = exchange.request;
+    let condition = SendCondition::new(exchange.presence, sent_at + left);
+    let mut request = exchange
+        .request
+        .map(|bytes| RequestBody::new(bytes, condition.clone()));
     let too_many_heads = limit_informational_heads(&mut request);
     let sent = connection.sender.try_send_request(request);
     let result = tokio::select! {
@@ -169,6 +176,10 @@
     let response = result.map_err(|mut error| match error.take_message() {
         // The connection closed before any byte was written.
         Some(_unsent) => SendFailure::NotSent(CallOutcome::Broken),
+        None if condition.is_withheld() => {
+            metrics::counter!("toucan_withdrawn_sends_total").increment(1);
+            SendFailure::Withdrawn
+        }
         None => SendFailure::MayHaveRun(CallOutcome::of_connection_error(error.error())),
     })?;
     if connection.path == ConnectionPath::Direct {
@@ -217,7 +228,7 @@
 }
 
 /// Returns what is notified when the target has answered a request with too many informational heads.
-fn limit_informational_heads(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+fn limit_informational_heads(request: &mut Request<RequestBody>) -> Arc<Notify> {
     let exceeded = Arc::new(Notify::new());
     let heads = AtomicU32::new(0);
     let notify = Arc::clone(&exceeded);
--- a/crates/toucan_gateway/src/serving/mod.rs
+++ b/crates/toucan_gateway/src/serving/mod.rs
@@ -18,6 +18,7 @@
 mod read_ahead;
 mod read_call;
 mod relay;
+mod request_body;
 mod reserve_tokens;
 pub(crate) mod response;
 mod resumption;
--- a/crates/toucan_gateway/src/serving/send.rs
+++ b/crates/toucan_gateway/src/serving/send.rs
@@ -17,7 +17,7 @@
     poison::join_fingerprints,
     retries::{CallProgress, NextStep, SendFailure, next_step},
     streams::StreamOrigin,
-    tasks::{departure_queries::wait_for_departures, path_probes::spawn_path_check},
+    tasks::{departure_queries::learn_departures, path_probes::spawn_path_check},
 };
 
 use super::{
@@ -88,7 +88,7 @@
             return Err((refusal, "deadline reached"));
         }
         check_poison(gateway, call, tracker).await?;
-        wait_for_departures(gateway, call.left_ms(gateway.now_ms())).await;
+        learn_departures(gateway, call.left_ms(gateway.now_ms())).await;
         let now_ms = gateway.now_ms();
         if !call.progress.may_have_run && !ends_before_stop(gateway, call, now_ms) {
             return Err((Refusal::Stopping, "the call may outlast the process"));
@@ -215,6 +215,7 @@
         target,
         id: &call.id,
         request: call.request_to(&gateway.platform, target, last_event_id, now_ms),
+        presence: gateway.state.borrow().targets.presence(target),
         max_connections: chosen.max_connections,
         head_timeout: head_timeout(call, now_ms),
         left_ms: call.left_ms(now_ms),
@@ -224,7 +225,7 @@
     };
     tracker.mark_may_have_run();
     let may_still_send = async || {
-        wait_for_departures(gateway, call.left_ms(gateway.now_ms())).await;
+        learn_departures(gateway, call.left_ms(gateway.now_ms())).await;
         is_still_eligible(gateway, call, target)
     };
     let exchanged = send_request(
--- a/crates/toucan_gateway/src/tasks/departure_queries.rs
+++ b/crates/toucan_gateway/src/tasks/departure_queries.rs
@@ -6,6 +6,8 @@
 
 use crate::{Gateway, Platform};
 
+use super::peer_exchange::handle_received;
+
 /// Shortest time between two looks at whether others are to be asked.
 const MIN_CHECK_INTERVAL_MS: u64 = 50;
 /// Time after which a call that waits looks again whether it has to.
@@ -25,8 +27,12 @@
     }
 }
 
-/// Waits until this gateway knows which targets have left, nobody tells, or `left_ms` have passed.
-pub(crate) async fn wait_for_departures<P: Platform>(gateway: &Gateway<P>, left_ms: u64) {
+/// Takes up what other gateways have told of targets that leave, and waits until this gateway knows, nobody tells, or
+/// `left_ms` have passed.
+pub(crate) async fn learn_departures<P: Platform>(gateway: &Rc<Gateway<P>>, left_ms: u64) {
+    if let Some(socket) = gateway.peers_socket() {
+        handle_received(gateway, &socket);
+    }
     if !gateway.holds_calls_for_departures() {
         return;
     }
--- a/crates/toucan_gateway/src/tasks/peer_exchange.rs
+++ b/crates/toucan_gateway/src/tasks/peer_exchange.rs
@@ -1,6 +1,6 @@
 //! Exchanges datagrams with other gateways.
 
-use std::{rc::Rc, time::Duration};
+use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use tokio::net::UdpSocket;
 use toucan_types::{RequestId, VmName};
@@ -20,6 +20,8 @@
 
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Maximum number of datagrams that are handled before other tasks go on.
+const MAX_DATAGRAMS_AT_ONCE: usize = 256;
 /// Minimum interval between two load messages.
 const MIN_LOAD_INTERVAL_MS: u64 = 250;
 /// Time by which the interval grows per gateway, to bound the number of datagrams per second.
@@ -33,10 +35,24 @@
 
 /// Receives and handles datagrams until the process ends.
 pub(crate) async fn receive_datagrams<P: Platform>(gateway: Rc<Gateway<P>>, socket: Rc<UdpSocket>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let received = match socket.recv_from(&mut buffer).await {
+        if let Err(error) = socket.readable().await {
+            log::debug!(target: "peers", error:% = error; "receiving a datagram failed");
+        }
+        handle_received(&gateway, &socket);
+    }
+}
+
+/// Handles the datagrams that have arrived, without waiting for more.
+///
+/// Besides the task that waits for datagrams, those that are about to send a call to a target do so, since where
+/// processor time is short that task runs seconds late.
+pub(crate) fn handle_received<P: Platform>(gateway: &Rc<Gateway<P>>, socket: &UdpSocket) {
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    for _datagram in 0..MAX_DATAGRAMS_AT_ONCE {
+        let received = match socket.try_recv_from(&mut buffer) {
             Ok((bytes, _from)) => &buffer[..bytes],
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return,
             Err(error) => {
                 // An earlier send reached the closed port of a gateway that has ended. The gateway
                 // registers again when it restarts.
@@ -44,9 +60,9 @@
                 continue;
             }
         };
-        let decoded = Datagram::decode(received, |vm, start_id| sender_key(&gateway, vm, start_id));
+        let decoded = Datagram::decode(received, |vm, start_id| sender_key(gateway, vm, start_id));
         match decoded {
-            Ok(datagram) => handle(&gateway, datagram),
+            Ok(datagram) => handle(gateway, datagram),
             Err(error) => count_rejected(&error),
         }
     }
--- a/crates/toucan_gateway/src/tasks/target_watch.rs
+++ b/crates/toucan_gateway/src/tasks/target_watch.rs
@@ -127,7 +127,7 @@
             departures.record_registration(&name, started_at_unix_ms, place);
         }
         let change = state.targets.register(entry, now_ms);
-        state.targets.record_place(&name, place);
+        state.targets.record_place(&name, place, now_ms);
         change
     };
     if change == TargetChange::Draining
