--- a/crates/toucan_gateway/src/serving/tunnel_relay.rs
+++ b/crates/toucan_gateway/src/serving/tunnel_relay.rs
@@ -23,14 +23,16 @@
 /// been sent of it is discarded.
 pub(crate) async fn relay(caller: &TcpStream, target: &TcpStream) {
     tokio::select! {
+        biased;
+        // Seen also while the target leaves no room for what the asking gateway has sent before, and before what has
+        // arrived of it: on a VM that is short of processor time both may have come long ago.
+        _reset = caller.ready(Interest::ERROR) => {}
         answers = pass(target, caller) => {
             if let Err(error) = answers.and_then(|()| end_regularly(caller)) {
                 log::debug!(target: "listener", name = "tunnels", error:% = error; "a tunnel broke off");
             }
         }
         _requests = pass(caller, target) => {}
-        // Seen also while the target leaves no room for what the asking gateway has sent before.
-        _reset = caller.ready(Interest::ERROR) => {}
     }
 }
 
