--- a/crates/toucan_gateway/src/tasks/mod.rs
+++ b/crates/toucan_gateway/src/tasks/mod.rs
@@ -11,6 +11,7 @@
 mod partition_consumer;
 pub(crate) mod path_probes;
 pub(crate) mod peer_exchange;
+mod peer_messages;
 pub(crate) mod schedule_watch;
 pub(crate) mod shutdown;
 mod store_health;
