Count an answer to a question of the future as one of now

By reading: an answer repeats when its question was asked. One that names a later time, from a gateway with a fault, would have ended the questions of this one until then. departure_histories.rs has the case.

--- a/crates/toucan_gateway/src/departure_reports.rs
+++ b/crates/toucan_gateway/src/departure_reports.rs
@@ -92,7 +92,7 @@
             if !state.departures.accept(answer, now_ms) {
                 return;
             }
-            state.departure_catch_up.record_answer(answer);
+            state.departure_catch_up.record_answer(answer, now_ms);
         }
         self.departures_learnt.notify_waiters();
     }
--- a/crates/toucan_gateway/src/placement/departure_catch_up.rs
+++ b/crates/toucan_gateway/src/placement/departure_catch_up.rs
@@ -52,15 +52,16 @@
         self.read_at_ms = self.read_at_ms.max(began_ms);
     }
 
-    /// Records an answer that leaves no gap after what this gateway knew.
-    pub fn record_answer(&mut self, answer: &DepartureAnswer) {
+    /// Records an answer that came at `now_ms` and leaves no gap after what this gateway knew.
+    pub fn record_answer(&mut self, answer: &DepartureAnswer, now_ms: u64) {
         self.has_answers = true;
         let Some(age_ms) = answer.age_ms else {
             return;
         };
-        // The answer was sent later than the question, by a time that is not known.
-        self.told_at_ms = self.told_at_ms.max(answer.asked_at_ms);
-        self.record_read(answer.asked_at_ms.saturating_sub(age_ms));
+        // The answer was sent later than the question, by a time that is not known. No question was sent later than now.
+        let known_at_ms = answer.asked_at_ms.min(now_ms);
+        self.told_at_ms = self.told_at_ms.max(known_at_ms);
+        self.record_read(known_at_ms.saturating_sub(age_ms));
     }
 
     /// Records that a datagram came. Returns whether it is the first after a silence, so that others should be asked at
--- a/crates/toucan_gateway/tests/departure_histories.rs
+++ b/crates/toucan_gateway/tests/departure_histories.rs
@@ -165,7 +165,7 @@
                     self.table.record_departure(departure, now_ms);
                 }
                 if self.history.accept(&answer, now_ms) {
-                    self.catch_up.record_answer(&answer);
+                    self.catch_up.record_answer(&answer, now_ms);
                 }
                 None
             }
@@ -439,3 +439,19 @@
     let answer = reader.answer(query, 0).expect("it has read");
     assert_eq!((answer.up_to, answer.departures.len()), (place(2), 0));
 }
+
+/// Fails if an answer to a question of the future ends the questions for as long.
+#[test]
+fn answer_to_a_later_question_counts_as_one_of_now() {
+    let mut catch_up = DepartureCatchUp::new(0);
+    let answer = DepartureAnswer {
+        asked_at_ms: u64::MAX,
+        after: place(0),
+        up_to: place(1),
+        age_ms: Some(0),
+        departures: Vec::new(),
+    };
+    catch_up.record_answer(&answer, 5_000);
+    assert_eq!(catch_up.age_ms(6_500), 1_500);
+    assert_eq!(catch_up.ask_in_ms(6_500), 0);
+}
