Show that gateways keep to the store's former address after their settings have changed

Claimed: a gateway does not apply a new address of the store from its settings, neither at SIGHUP nor later, so that versions of the configuration that are acknowledged there are never followed (CONFIG).

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -72,11 +72,20 @@
 
     def __init__(self):
         self.logs = {}
+        self.changed = asyncio.Condition()
+        self.writers = set()
 
     async def start(self):
-        self.changed = asyncio.Condition()
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "%s:%d" % server.sockets[0].getsockname()
+        """Listens at a new address, beside earlier ones."""
+        writers = self.writers
+
+        async def serve(reader, writer):
+            writers.add(writer)
+            await self._serve(reader, writer)
+            writers.discard(writer)
+
+        self.server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()
 
     def log(self, topic, part):
         return self.logs.setdefault((topic, int(part)), [])
